Whole path: caller, entry, agent, backend server and back

Cause: there was nothing yet.

Decisions of entry (core/dispatch) and agent (core/agentcore) are deterministic state machines apart from I/O; service/ wires them to fasthttp, drpc, timers and logs. Keyed submissions are claimed in the platform's table, with epochs, fencing and takeover. The platform and backend servers are small stand-ins.

--- /dev/null
+++ b/cmd/peridotpick/demo.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"peridotpick.example/common/logs"
+	"peridotpick.example/lab/demo"
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run both users' examples through a whole deployment in this process",
+		Description: "Example:\n  peridotpick demo --log info",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log", Value: "error", Usage: "lowest level logged to standard error"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			level, err := zerolog.ParseLevel(cmd.String("log"))
+			if err != nil {
+				return err
+			}
+			sink := logs.New(os.Stderr, level)
+			defer func() { _ = sink.Close() }()
+			return demo.Run(ctx, os.Stdout, sink)
+		},
+	}
+}
--- /dev/null
+++ b/cmd/peridotpick/main.go
@@ -0,0 +1,37 @@
+// Command peridotpick runs entries and carries the commands of callers and operators.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"peridotpick.example/common/errkind"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newApp().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "peridotpick:", err)
+		stop()
+		os.Exit(exitCode(err))
+	}
+}
+
+func newApp() *cli.Command {
+	return &cli.Command{
+		Name:  "peridotpick",
+		Usage: "dispatcher for sub-second tasks",
+		Commands: []*cli.Command{
+			demoCommand(),
+		},
+	}
+}
+
+// exitCode maps an error to the exit code of its kind.
+func exitCode(err error) int { return errkind.Of(errkind.From(err).Kind).Exit }
--- /dev/null
+++ b/common/config/config.go
@@ -0,0 +1,317 @@
+// Package config defines the configuration that operators submit: teams and
+// their quotas, services and their kinds of tasks, credentials, and the weights
+// of the policy. It is one versioned document; a bad one is refused whole, with
+// every mistake named.
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	_ "embed" // the schema
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"peridotpick.example/common/label"
+	"peridotpick.example/common/settings"
+)
+
+// Schema is the published JSON Schema of a Document.
+//
+//go:embed config.schema.json
+var Schema []byte
+
+var schema = settings.MustCompile("config", Schema)
+
+// Document is the configuration as operators write it.
+type Document struct {
+	Teams     []Team     `json:"teams"`
+	Operators []Operator `json:"operators,omitempty"`
+	Services  []Service  `json:"services"`
+	Policy    Policy     `json:"policy"`
+	// Retention is how long the outcome of a submission can be asked for.
+	Retention settings.Duration `json:"retention,omitempty"`
+}
+
+// Team is a caller that shares the platform.
+type Team struct {
+	Name string `json:"name"`
+	// Weight is the team's share when there is not enough for all; 1 if 0.
+	Weight float64 `json:"weight,omitempty"`
+	// Quota bounds the team's open tasks over all entries; 0 means no bound.
+	Quota  int          `json:"quota,omitempty"`
+	Tokens []Credential `json:"tokens,omitempty"`
+}
+
+// Credential is a bearer token, kept as a hash.
+type Credential struct {
+	// SHA256 is the hash of the token, in lower-case hexadecimal.
+	SHA256 string `json:"sha256"`
+	// Expires is an RFC 3339 time after which the token is refused; optional.
+	Expires string `json:"expires,omitempty"`
+}
+
+// Role is what an operator may do.
+type Role string
+
+// Roles. Caller is that of a team's token.
+const (
+	RoleCaller   Role = "caller"
+	RoleOperator Role = "operator"
+	RoleReadOnly Role = "read-only"
+)
+
+// Operator may use the administration API.
+type Operator struct {
+	Name   string       `json:"name"`
+	Role   Role         `json:"role"`
+	Tokens []Credential `json:"tokens"`
+}
+
+// Service is a kind of backend server.
+type Service struct {
+	Name string `json:"name"`
+	// Selector restricts all tasks of the service; may be empty.
+	Selector string `json:"selector,omitempty"`
+	Kinds    []Kind `json:"kinds"`
+}
+
+// Kind is an operation of a service.
+type Kind struct {
+	Name string `json:"name"`
+	// Repeatable permits a second start after a first that failed or was lost.
+	Repeatable bool `json:"repeatable,omitempty"`
+	// Class is urgent, interactive or batch; interactive if empty.
+	Class string `json:"class,omitempty"`
+	// MaxRun is the time after which a backend server gives a task up.
+	MaxRun settings.Duration `json:"maxRun,omitempty"`
+}
+
+// Policy weighs response time against messages and cost.
+type Policy struct {
+	// ResponseWeight moves from few wasted messages (0) to short response times (1).
+	ResponseWeight float64 `json:"responseWeight"`
+	// Headroom is the part of awake slots kept free, 0 to 1.
+	Headroom float64 `json:"headroom,omitempty"`
+	// MinAwake is the number of workers that never sleep.
+	MinAwake int `json:"minAwake,omitempty"`
+	// IdleBeforeSleep is how long a worker must not be needed before it sleeps.
+	IdleBeforeSleep settings.Duration `json:"idleBeforeSleep,omitempty"`
+}
+
+// Defaults of optional values.
+const (
+	DefaultMaxRun    = 30 * time.Second
+	DefaultRetention = 24 * time.Hour
+	minRetention     = time.Hour
+)
+
+// Class names in order of urgency; the index is the wire's class.
+var classNames = []string{"urgent", "interactive", "batch"}
+
+// Compiled is a checked document in the form that requests are matched against.
+type Compiled struct {
+	Version  uint64
+	Document Document
+	teams    map[string]*Team
+	kinds    map[kindKey]*CompiledKind
+	services map[string]bool
+	// tokens maps the hash of a token to its holder.
+	tokens map[[sha256.Size]byte]Identity
+}
+
+type kindKey struct{ service, kind string }
+
+// CompiledKind is a kind with parsed values.
+type CompiledKind struct {
+	Repeatable bool
+	Class      uint8
+	MaxRun     time.Duration
+	// ServiceSelector is the text of the service's selector.
+	ServiceSelector string
+}
+
+// Identity is the holder of a credential.
+type Identity struct {
+	Role Role
+	// Name is that of the team or operator.
+	Name    string
+	expires time.Time
+}
+
+// Parse checks a document. The error is settings.Problems if it is not valid.
+func Parse(data []byte) (*Compiled, error) {
+	if err := settings.CheckSchema(schema, data); err != nil {
+		return nil, err
+	}
+	var doc Document
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&doc); err != nil {
+		return nil, eris.Wrap(err, "configuration")
+	}
+	return compile(doc)
+}
+
+func compile(doc Document) (*Compiled, error) {
+	c := &Compiled{
+		Document: doc, teams: make(map[string]*Team), kinds: make(map[kindKey]*CompiledKind),
+		services: make(map[string]bool), tokens: make(map[[sha256.Size]byte]Identity),
+	}
+	var p settings.Problems
+	c.compileTeams(&p)
+	c.compileOperators(&p)
+	c.compileServices(&p)
+	if r := doc.Retention.Std(); r != 0 && r < minRetention {
+		p.Add("/retention", r, fmt.Sprintf("at least %v", minRetention))
+	}
+	return c, p.Err()
+}
+
+func (c *Compiled) compileTeams(p *settings.Problems) {
+	for i := range c.Document.Teams {
+		team := &c.Document.Teams[i]
+		path := fmt.Sprintf("/teams/%d", i)
+		if c.teams[team.Name] != nil {
+			p.Add(path+"/name", team.Name, "a name not used by another team")
+		}
+		c.teams[team.Name] = team
+		c.compileTokens(p, path, team.Tokens, Identity{Role: RoleCaller, Name: team.Name})
+	}
+}
+
+func (c *Compiled) compileOperators(p *settings.Problems) {
+	seen := make(map[string]bool)
+	for i, op := range c.Document.Operators {
+		path := fmt.Sprintf("/operators/%d", i)
+		if seen[op.Name] {
+			p.Add(path+"/name", op.Name, "a name not used by another operator")
+		}
+		seen[op.Name] = true
+		c.compileTokens(p, path, op.Tokens, Identity{Role: op.Role, Name: op.Name})
+	}
+}
+
+func (c *Compiled) compileTokens(p *settings.Problems, path string, tokens []Credential, holder Identity) {
+	for i, token := range tokens {
+		at := fmt.Sprintf("%s/tokens/%d", path, i)
+		var hash [sha256.Size]byte
+		if n, err := hex.Decode(hash[:], []byte(token.SHA256)); err != nil || n != sha256.Size {
+			p.Add(at+"/sha256", token.SHA256, "64 hexadecimal digits")
+			continue
+		}
+		if _, taken := c.tokens[hash]; taken {
+			p.Add(at+"/sha256", "hash", "a token not used by another team or operator")
+		}
+		holder := holder
+		if token.Expires != "" {
+			expires, err := time.Parse(time.RFC3339, token.Expires)
+			if err != nil {
+				p.Add(at+"/expires", token.Expires, "an RFC 3339 time, such as 2027-01-31T00:00:00Z")
+			}
+			holder.expires = expires
+		}
+		c.tokens[hash] = holder
+	}
+}
+
+func (c *Compiled) compileServices(p *settings.Problems) {
+	for i, service := range c.Document.Services {
+		path := fmt.Sprintf("/services/%d", i)
+		if c.services[service.Name] {
+			p.Add(path+"/name", service.Name, "a name not used by another service")
+		}
+		c.services[service.Name] = true
+		if _, err := label.Parse(path+"/selector", service.Selector); err != nil {
+			p.Add(path+"/selector", service.Selector, err.Error())
+		}
+		for k, kind := range service.Kinds {
+			c.compileKind(p, fmt.Sprintf("%s/kinds/%d", path, k), service, kind)
+		}
+	}
+}
+
+func (c *Compiled) compileKind(p *settings.Problems, path string, service Service, kind Kind) {
+	key := kindKey{service.Name, kind.Name}
+	if c.kinds[key] != nil {
+		p.Add(path+"/name", kind.Name, "a name not used by another kind of the service")
+	}
+	if kind.MaxRun < 0 {
+		p.Add(path+"/maxRun", kind.MaxRun.Std(), "greater than 0s")
+	}
+	compiled := &CompiledKind{
+		Repeatable: kind.Repeatable, Class: classOf(kind.Class), MaxRun: kind.MaxRun.Std(), ServiceSelector: service.Selector,
+	}
+	if compiled.MaxRun == 0 {
+		compiled.MaxRun = DefaultMaxRun
+	}
+	c.kinds[key] = compiled
+}
+
+func classOf(name string) uint8 {
+	for i, have := range classNames {
+		if have == name {
+			return uint8(i)
+		}
+	}
+	return 1
+}
+
+// ClassName returns the published name of a class.
+func ClassName(class uint8) string { return classNames[min(int(class), len(classNames)-1)] }
+
+// Team returns the team, or nil.
+func (c *Compiled) Team(name string) *Team { return c.teams[name] }
+
+// HasService reports whether the service exists.
+func (c *Compiled) HasService(name string) bool { return c.services[name] }
+
+// Kind returns a kind of a service, or nil.
+func (c *Compiled) Kind(service, kind string) *CompiledKind { return c.kinds[kindKey{service, kind}] }
+
+// Retention returns how long outcomes are kept.
+func (c *Compiled) Retention() time.Duration {
+	if c.Document.Retention == 0 {
+		return DefaultRetention
+	}
+	return c.Document.Retention.Std()
+}
+
+// Authenticate returns the holder of a bearer token. The comparison takes the
+// same time for every token.
+func (c *Compiled) Authenticate(token string, now time.Time) (Identity, bool) {
+	hash := sha256.Sum256([]byte(token))
+	var holder Identity
+	found := 0
+	for have, identity := range c.tokens {
+		if subtle.ConstantTimeCompare(have[:], hash[:]) == 1 {
+			holder = identity
+			found = 1
+		}
+	}
+	if found == 0 || (!holder.expires.IsZero() && now.After(holder.expires)) {
+		return Identity{}, false
+	}
+	return holder, true
+}
+
+// HashToken returns the form in which a token is kept.
+func HashToken(token string) string {
+	hash := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(hash[:])
+}
+
+// Version is a stored version of the configuration.
+type Version struct {
+	// Number grows by one with each accepted change; the first is 1.
+	Number uint64    `json:"number"`
+	Author string    `json:"author"`
+	At     time.Time `json:"at"`
+	// Nonce identifies the change, so that a repeated put is known as itself.
+	Nonce    string          `json:"nonce"`
+	Document json.RawMessage `json:"document"`
+}
--- /dev/null
+++ b/core/dispatch/claims.go
@@ -0,0 +1,416 @@
+package dispatch
+
+import (
+	"time"
+
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/claim"
+	"peridotpick.example/core/rank"
+	"peridotpick.example/wire"
+)
+
+// claimMargin is how long before the deadline an unsent claim is withdrawn, so
+// that the refusal still reaches the caller in time.
+const claimMargin = 20 * time.Millisecond
+
+// lookup is a refusal that waits for a look at the claim: an earlier
+// submission with the key may have run, or run now, elsewhere.
+type lookup struct {
+	request *Request
+	refusal *wire.Outcome
+}
+
+func (c *Core) lookUp(r *Request, refusal *wire.Outcome) {
+	waiting := c.lookups[r.Submission]
+	if len(waiting) == 0 {
+		c.out.Reads = append(c.out.Reads, r.Submission)
+	}
+	c.lookups[r.Submission] = append(waiting, lookup{r, refusal})
+}
+
+// ClaimRead ends the lookups of a submission. known is false if the table
+// service did not answer; row is nil if there is no claim.
+func (c *Core) ClaimRead(now time.Time, submission string, known bool, row *claim.Row, version uint64) {
+	waiting := c.lookups[submission]
+	delete(c.lookups, submission)
+	for _, l := range waiting {
+		r := l.request
+		switch {
+		case known && (row == nil || row.Phase == claim.Void):
+			c.stats.Refused++
+			c.out.Answers = append(c.out.Answers, Answer{Request: r.ID, Outcome: l.refusal})
+		case known:
+			c.attachClaim(now, r, row, version)
+		default:
+			c.stats.Refused++
+			l.refusal.Unchecked = true
+			c.out.Answers = append(c.out.Answers, Answer{Request: r.ID, Outcome: l.refusal})
+		}
+	}
+}
+
+func (c *Core) attachClaim(now time.Time, r *Request, row *claim.Row, version uint64) {
+	j := c.jobs[r.Submission]
+	if j != nil {
+		c.attach(j, r)
+		return
+	}
+	j = c.newJob(now, r)
+	j.waiters = []waiter{{r.ID, r.Async}}
+	c.adopt(now, j, row, version)
+}
+
+// Resume takes up a submission whose owner is lost. request is nil if its
+// content is not known; then only its end is recorded.
+func (c *Core) Resume(now time.Time, row *claim.Row, version uint64, request *Request) {
+	if c.jobs[row.Submission] != nil {
+		return
+	}
+	orphan := request == nil
+	if orphan {
+		request = &Request{
+			Submission: row.Submission, Claimed: true, Digest: row.Digest, Weight: 1,
+			Tasks: make([]TaskSpec, row.Tasks), Deadline: orphanDeadline,
+		}
+	}
+	j := c.newJob(now, request)
+	j.orphan = orphan
+	c.takeOver(now, j, row, version)
+}
+
+// orphanDeadline bounds the time to gather what agents know of an orphan.
+const orphanDeadline = 10 * time.Second
+
+// write sends a conditional write of j's row.
+func (c *Core) write(j *job, row *claim.Row, ifVersion uint64, expires time.Time) {
+	row.Submission = j.submission
+	row.Digest = j.digest
+	row.Owner = c.self
+	row.Nonce = c.rng.Uint64()
+	row.Tasks = uint32(len(j.specs))
+	row.Deadline = j.deadline
+	row.Request = j.stored
+	w := claim.Write{Row: row, IfVersion: ifVersion, Expires: expires}
+	j.writing = &w
+	c.out.Writes = append(c.out.Writes, w)
+}
+
+// writeFreshClaim inserts the claim, or learns by a mismatch who holds it.
+func (c *Core) writeFreshClaim(now time.Time, j *job) {
+	if j.writing != nil {
+		return
+	}
+	switch j.phase {
+	case phaseClosing:
+		c.writeOutcome(j)
+		return
+	case phaseRunning:
+		c.widen(now, j)
+		return
+	}
+	j.phase = phaseClaiming
+	expires := now.Add(c.settings.ClaimWait)
+	if latest := j.deadline.Add(-claimMargin); latest.Before(expires) {
+		expires = latest
+	}
+	c.write(j, &claim.Row{Epoch: 1, Candidates: c.plan(j)}, 0, expires)
+}
+
+// plan chooses candidate agents for the tasks of j: all feasible ones if they
+// are few, or enough for the tasks with some to spare.
+func (c *Core) plan(j *job) []claim.Candidate {
+	var picked []claim.Candidate
+	seen := make(map[rank.ID]bool)
+	for i := range j.specs {
+		if i > 0 && sameRequirement(&j.specs[i], &j.specs[i-1]) {
+			continue
+		}
+		for _, a := range c.pool.Best(j.specs[i].requirement(), len(j.specs), c.settings.Spares) {
+			if !seen[a.ID] {
+				seen[a.ID] = true
+				picked = append(picked, claim.Candidate{ID: a.ID, Address: c.address(a.ID)})
+			}
+		}
+	}
+	return picked
+}
+
+func sameRequirement(a, b *TaskSpec) bool {
+	return a.Service == b.Service && a.Selector.String() == b.Selector.String()
+}
+
+func (c *Core) address(id rank.ID) string {
+	if l := c.links[c.linked[id]]; l != nil {
+		return l.addr
+	}
+	return ""
+}
+
+// ClaimWritten handles the fate of a write.
+func (c *Core) ClaimWritten(now time.Time, r claim.Result) {
+	j := c.jobs[r.Submission]
+	if j == nil || j.writing == nil || j.writing.Row.Nonce != r.Nonce {
+		return
+	}
+	if r.Status == claim.Unknown {
+		return // a definite fate follows
+	}
+	w := j.writing
+	j.writing = nil
+	if r.Status == claim.Mismatch && r.Current != nil && r.Current.Nonce == w.Row.Nonce {
+		r.Status = claim.Applied // an answer was lost, the write was not
+	}
+	switch r.Status {
+	case claim.Applied:
+		j.version = r.Version
+		c.applied(now, j, w.Row)
+	case claim.Mismatch:
+		c.mismatch(now, j, r)
+	case claim.NotSent:
+		c.notSent(now, j, r.Outage)
+	}
+}
+
+func (c *Core) applied(now time.Time, j *job, row *claim.Row) {
+	j.candidates = row.Candidates
+	j.epoch = row.Epoch
+	switch {
+	case j.phase == phaseClosing && row.Phase != claim.Running:
+		c.answer(j, j.outcome)
+		c.count(j.outcome)
+		c.end(now, j)
+	case j.phase == phaseClosing:
+		c.writeOutcome(j) // an earlier widening was under way
+	case j.gaveUp:
+		c.withdraw(now, j, &wire.Outcome{Kind: errkind.DeadlineTooShort})
+	case j.phase == phaseTaking:
+		c.beginFencing(now, j)
+	case j.phase == phaseRunning:
+		j.widening = false
+		c.resolveAmong(j)
+	case j.cancelAsked:
+		c.makeTasks(j)
+		c.fail(now, j, errkind.Canceled, "canceled before it started")
+	default:
+		c.accept(j)
+		c.resolveAmong(j)
+		c.start(now, j)
+	}
+}
+
+// mismatch handles a write that met another row.
+func (c *Core) mismatch(now time.Time, j *job, r claim.Result) {
+	if j.gaveUp || (len(j.waiters) == 0 && j.phase != phaseClaiming) {
+		c.abandon(j)
+		c.end(now, j)
+		return
+	}
+	if j.phase == phaseRunning || j.phase == phaseClosing {
+		c.abandon(j)
+	}
+	if r.Current == nil {
+		j.phase = phaseClaiming
+		c.later(now, j)
+		return
+	}
+	c.adopt(now, j, r.Current, r.Version)
+}
+
+// adopt acts on the row that is in force for j's key.
+func (c *Core) adopt(now time.Time, j *job, row *claim.Row, version uint64) {
+	if row.Phase != claim.Void && row.Digest != j.digest {
+		c.answer(j, &wire.Outcome{Kind: errkind.KeyConflict, Detail: "the key belongs to a request with other content"})
+		c.end(now, j)
+		return
+	}
+	switch row.Phase {
+	case claim.Closed:
+		c.stats.Attached++
+		c.answer(j, row.Outcome)
+		c.end(now, j)
+	case claim.Void:
+		j.phase = phaseClaiming
+		c.write(j, &claim.Row{Epoch: row.Epoch + 1, Candidates: c.plan(j)}, version, j.deadline.Add(-claimMargin))
+	default:
+		j.history = true
+		if row.Owner.ID == c.self.ID {
+			// This incarnation has forgotten it, or an earlier one held it.
+			c.takeOver(now, j, row, version)
+			return
+		}
+		j.phase = phaseAttached
+		j.owner = row.Owner
+		j.epoch = row.Epoch
+		j.version = version
+		j.candidates = row.Candidates
+		j.stored = row.Request
+		c.accept(j)
+		if len(j.waiters) == 0 {
+			c.end(now, j)
+			return
+		}
+		c.askOwner(j)
+	}
+}
+
+func (c *Core) askOwner(j *job) {
+	if j.phase != phaseAttached {
+		return
+	}
+	c.out.Awaits = append(c.out.Awaits, PeerAwait{Submission: j.submission, Owner: j.owner, Cancel: j.cancelAsked})
+}
+
+// PeerFate is what came of asking another entry.
+type PeerFate uint8
+
+// Fates of a question to the owner of a submission.
+const (
+	// PeerAnswered: the reply is valid.
+	PeerAnswered PeerFate = iota
+	// PeerRefused: nothing listens at the owner's address, or another incarnation does.
+	PeerRefused
+	// PeerSilent: no answer in time.
+	PeerSilent
+)
+
+// maxPeerSilence is the number of silent tries after which a submission is
+// taken over. Fencing makes a hasty takeover safe, only wasteful.
+const maxPeerSilence = 2
+
+// PeerReplied handles the result of a PeerAwait.
+func (c *Core) PeerReplied(now time.Time, submission string, owner uint64, fate PeerFate, reply *wire.AwaitReply) {
+	j := c.jobs[submission]
+	if j == nil || j.phase != phaseAttached || j.owner.Incarnation != owner {
+		return
+	}
+	switch {
+	case fate == PeerAnswered && reply.Outcome != nil:
+		c.answer(j, reply.Outcome)
+		c.end(now, j)
+	case fate == PeerAnswered && reply.Known:
+		j.peerFails = 0
+		c.askOwner(j)
+	case fate == PeerAnswered:
+		c.later(now, j) // learn what is in force now
+	case fate == PeerRefused || j.peerFails+1 >= maxPeerSilence:
+		row := &claim.Row{Epoch: j.epoch, Candidates: j.candidates}
+		c.takeOver(now, j, row, j.version)
+	default:
+		j.peerFails++
+		c.after(now.Add(c.settings.PeerRetry), timer{kind: timerPeer, job: j})
+	}
+}
+
+// takeOver replaces the claim of another owner with the next epoch.
+func (c *Core) takeOver(now time.Time, j *job, row *claim.Row, version uint64) {
+	j.phase = phaseTaking
+	j.history = true
+	c.stats.Takeovers++
+	c.decide(Decision{Kind: TookOver, Submission: j.submission})
+	if len(row.Request) > 0 {
+		j.stored = row.Request
+	}
+	c.write(j, &claim.Row{Epoch: row.Epoch + 1, Candidates: row.Candidates}, version, time.Time{})
+}
+
+// notSent handles a write that never left this entry.
+func (c *Core) notSent(now time.Time, j *job, outage bool) {
+	if j.phase == phaseClaiming && !j.history {
+		kind := errkind.Overloaded
+		if outage {
+			kind = errkind.StoreUnavailable
+		}
+		c.stats.Refused += uint64(len(j.waiters))
+		c.answer(j, &wire.Outcome{Kind: kind, Unchecked: true, RetryAfter: time.Second,
+			Detail: "the claim could not be recorded; this request started nothing"})
+		c.end(now, j)
+		return
+	}
+	if j.gaveUp {
+		c.end(now, j)
+		return
+	}
+	c.later(now, j)
+}
+
+// later repeats the write that j's phase needs after a pause.
+func (c *Core) later(now time.Time, j *job) {
+	c.after(now.Add(c.settings.PeerRetry), timer{kind: timerReclaim, job: j})
+}
+
+// close records the outcome of a claimed submission and then answers; an
+// unclaimed one is answered at once.
+func (c *Core) close(now time.Time, j *job, outcome *wire.Outcome) {
+	j.outcome = outcome
+	if !j.claimed {
+		c.answer(j, outcome)
+		c.count(outcome)
+		c.end(now, j)
+		return
+	}
+	j.phase = phaseClosing
+	c.writeOutcome(j)
+}
+
+// withdraw ends a submission of which nothing has run: its claim is voided
+// first, so that no other entry can pick it up after the refusal.
+func (c *Core) withdraw(now time.Time, j *job, refusal *wire.Outcome) {
+	refusal.Tasks = nil
+	if refusal.RetryAfter == 0 && errkind.Of(refusal.Kind).Retry {
+		refusal.RetryAfter = time.Second
+	}
+	c.close(now, j, refusal)
+}
+
+func (c *Core) writeOutcome(j *job) {
+	if j.writing != nil {
+		return // the fate of an earlier write comes first
+	}
+	row := &claim.Row{Epoch: j.epoch, Candidates: j.candidates, Phase: claim.Closed, Outcome: j.outcome}
+	if errkind.Of(j.outcome.Kind).Ran == errkind.NotRun {
+		row.Phase = claim.Void
+		row.Outcome = nil
+	}
+	c.write(j, row, j.version, time.Time{})
+}
+
+func (c *Core) count(outcome *wire.Outcome) {
+	if outcome.Kind == errkind.OK {
+		c.stats.Completed++
+		return
+	}
+	c.stats.Failed++
+}
+
+// abandon forgets what this entry did for a submission that another one owns
+// now. Agents are not told: the new owner needs what they keep.
+func (c *Core) abandon(j *job) {
+	for _, t := range j.tasks {
+		c.dropFlights(t)
+		t.state = taskDone
+	}
+	j.tasks = nil
+	j.touched = nil
+	j.unfenced = nil
+	j.gone = nil
+	j.outcome = nil
+	j.widening = false
+	j.history = true
+}
+
+// lostOwnership reacts to proof that another entry owns j.
+func (c *Core) lostOwnership(now time.Time, j *job) {
+	if j.phase != phaseRunning && j.phase != phaseFencing {
+		return // a write under way will tell
+	}
+	if j.writing != nil {
+		return
+	}
+	c.abandon(j)
+	if len(j.waiters) == 0 {
+		c.end(now, j)
+		return
+	}
+	j.phase = phaseAttached
+	c.writeFreshClaim(now, j)
+}
--- /dev/null
+++ b/core/dispatch/place.go
@@ -0,0 +1,265 @@
+package dispatch
+
+import (
+	"strconv"
+	"time"
+
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/claim"
+	"peridotpick.example/core/fair"
+	"peridotpick.example/core/rank"
+	"peridotpick.example/wire"
+)
+
+// startKey groups the starts of one flush into batches.
+type startKey struct {
+	link       LinkID
+	submission string
+	class      uint8
+}
+
+// enqueue makes t wait for an agent.
+func (c *Core) enqueue(now time.Time, t *task) {
+	t.state = taskWaiting
+	if t.queued {
+		return
+	}
+	j := t.job
+	item := fair.Item[*task]{
+		Class: t.spec.Class, Team: j.team, Weight: j.weight, Lane: c.lane(t), Value: t,
+	}
+	if !c.queue.Push(item) {
+		c.fail(now, j, errkind.Overloaded, "too many tasks wait")
+		return
+	}
+	t.queued = true
+}
+
+// lane names what t waits for, so that tasks that wait for the same agents are
+// offered only once while none of these is free.
+func (c *Core) lane(t *task) string {
+	j := t.job
+	if j.claimed && len(j.among) < len(c.pool.Feasible(t.spec.requirement())) {
+		return "j/" + j.submission
+	}
+	if t.index > 0 && sameRequirement(t.spec, j.tasks[t.index-1].spec) {
+		if l := j.tasks[t.index-1].laneName; l != "" {
+			t.laneName = l
+			return l
+		}
+	}
+	t.laneName = t.spec.Service + "|" + t.spec.Selector.String()
+	if j.claimed {
+		t.laneName += "#" + strconv.FormatUint(c.pool.Generation(), 10)
+	}
+	return t.laneName
+}
+
+// place offers waiting tasks to agents.
+func (c *Core) place(now time.Time) {
+	if c.queue.Len() == 0 {
+		return
+	}
+	c.queue.Scan(func(t *task) fair.Verdict { return c.offer(now, t) })
+}
+
+func (c *Core) offer(now time.Time, t *task) fair.Verdict {
+	j := t.job
+	if j.ended || j.phase != phaseRunning || t.state != taskWaiting || !now.Before(j.deadline) {
+		t.queued = false
+		return fair.Taken
+	}
+	if j.claimed && now.After(c.leaseUntil) {
+		return fair.Blocked
+	}
+	choice := c.pick(now, t, t.avoid)
+	if choice.Agent == nil && len(t.avoid) > 0 {
+		choice = c.pick(now, t, nil)
+	}
+	if choice.Agent == nil {
+		c.watchCandidates(now, j)
+		return fair.Blocked
+	}
+	t.queued = false
+	c.send(now, t, choice, Placed)
+	return fair.Taken
+}
+
+func (c *Core) pick(now time.Time, t *task, avoid []rank.ID) rank.Choice {
+	if t.job.claimed {
+		return c.pool.PickAmong(now, t.job.among, t.spec.requirement(), t.spec.kind(), avoid)
+	}
+	return c.pool.Pick(now, t.spec.requirement(), t.spec.kind(), avoid)
+}
+
+// send adds an attempt of t to the batch for the chosen agent.
+func (c *Core) send(now time.Time, t *task, choice rank.Choice, why DecisionKind) {
+	j := t.job
+	a := choice.Agent
+	id := c.linked[a.ID]
+	t.attempt++
+	t.state = taskInFlight
+	t.flights = append(t.flights, flight{agent: a.ID, attempt: t.attempt, sentAt: now, hedge: why == Hedged})
+	a.Sent()
+	a.Probing()
+	j.touch(a.ID)
+	c.stats.Starts++
+	key := startKey{id, j.submission, t.spec.Class}
+	batch := c.starts[key]
+	if batch == nil {
+		batch = &wire.StartBatch{Submission: j.submission, Epoch: j.epoch, Remaining: j.deadline.Sub(now), Class: t.spec.Class}
+		c.starts[key] = batch
+		msg := c.message(id)
+		msg.Starts = append(msg.Starts, batch)
+	}
+	batch.Tasks = append(batch.Tasks, wire.TaskStart{
+		Index: t.index, Attempt: t.attempt, Kind: t.spec.Kind, Payload: t.spec.Payload, Sum: t.sum(), MaxRun: t.spec.MaxRun,
+	})
+	c.decidePlaced(t, choice, why)
+	c.armHedge(now, t, a.ID)
+}
+
+func (c *Core) decidePlaced(t *task, choice rank.Choice, why DecisionKind) {
+	d := Decision{
+		Kind: why, Submission: t.job.submission, Task: t.index, Attempt: t.attempt,
+		Agent: choice.Agent.ID, Finish: choice.Finish, RunnerUpFinish: choice.RunnerUpFinish,
+	}
+	if choice.RunnerUp != nil {
+		d.RunnerUp = choice.RunnerUp.ID
+	}
+	c.decide(d)
+}
+
+// sum returns the payload's checksum, computed once.
+func (t *task) sum() uint64 {
+	if !t.summed {
+		t.checksum = wire.Sum(t.spec.Payload)
+		t.summed = true
+	}
+	return t.checksum
+}
+
+func (c *Core) flushStarts(time.Time) { clear(c.starts) }
+
+// armHedge watches for a straggler if a second attempt would be allowed.
+func (c *Core) armHedge(now time.Time, t *task, agent rank.ID) {
+	if c.settings.HedgeShare == 0 || t.job.claimed || !t.spec.Repeatable || len(t.flights) > 1 {
+		return
+	}
+	c.hedge.earn(c.settings.HedgeShare)
+	slow := c.pool.SlowAfter(t.spec.kind())
+	if slow == 0 {
+		return
+	}
+	at := now.Add(time.Duration(c.settings.HedgeFactor * float64(slow)))
+	if at.Before(t.job.deadline) {
+		c.after(at, timer{kind: timerHedge, job: t.job, task: t, agent: agent, attempt: t.attempt})
+	}
+}
+
+// hedgeStraggler sends a second attempt of a task that runs unusually long.
+func (c *Core) hedgeStraggler(now time.Time, t *task, agent rank.ID, attempt uint32) {
+	if t.state != taskInFlight || len(t.flights) != 1 || t.flights[0].attempt != attempt {
+		return
+	}
+	choice := c.pool.Pick(now, t.spec.requirement(), t.spec.kind(), []rank.ID{agent})
+	if choice.Agent == nil || !c.hedge.spend() {
+		return
+	}
+	c.stats.WastedHedge++
+	c.send(now, t, choice, Hedged)
+}
+
+// watchCandidates arms the timer after which more candidates are added.
+func (c *Core) watchCandidates(now time.Time, j *job) {
+	if j.claimed && !j.widening {
+		j.widening = true
+		c.after(now.Add(c.settings.CandidateWait), timer{kind: timerCandidates, job: j})
+	}
+}
+
+// widen adds candidate agents to the claim of a submission whose candidates
+// are all busy or gone.
+func (c *Core) widen(now time.Time, j *job) {
+	if j.phase != phaseRunning || j.writing != nil {
+		j.widening = false
+		return
+	}
+	known := make(map[rank.ID]bool, len(j.candidates))
+	for _, have := range j.candidates {
+		known[have.ID] = true
+	}
+	more := append([]claim.Candidate(nil), j.candidates...)
+	for _, extra := range c.plan(j) {
+		if !known[extra.ID] {
+			more = append(more, extra)
+		}
+	}
+	if len(more) == len(j.candidates) || !j.hasWaiting() {
+		j.widening = false
+		return
+	}
+	c.decide(Decision{Kind: Widened, Submission: j.submission})
+	c.write(j, &claim.Row{Epoch: j.epoch, Candidates: more}, j.version, time.Time{})
+}
+
+func (j *job) hasWaiting() bool {
+	for _, t := range j.tasks {
+		if t.state == taskWaiting {
+			return true
+		}
+	}
+	return false
+}
+
+// resolveAmong recomputes which candidate agents are known here.
+func (c *Core) resolveAmong(j *job) {
+	j.among = j.among[:0]
+	for _, candidate := range j.candidates {
+		if a := c.pool.Get(candidate.ID); a != nil {
+			j.among = append(j.among, a)
+		}
+	}
+}
+
+// ackBook holds acknowledgements that wait for a message to ride on.
+type ackBook struct {
+	byAgent map[rank.ID][]wire.Ack
+	due     time.Time
+}
+
+func (c *Core) ack(now time.Time, agent rank.ID, j *job) {
+	if _, ok := c.linked[agent]; !ok {
+		return
+	}
+	c.acks.byAgent[agent] = append(c.acks.byAgent[agent], wire.Ack{Submission: j.submission, Epoch: max(1, j.epoch)})
+	if c.acks.due.IsZero() {
+		c.acks.due = now.Add(c.settings.AckDelay)
+	}
+}
+
+// flushAcks lets acknowledgements ride on messages of this flush, and sends
+// the rest on their own when they are due.
+func (c *Core) flushAcks(now time.Time) {
+	for i := range c.out.Sends {
+		l := c.links[c.out.Sends[i].Link]
+		if l == nil || len(c.acks.byAgent[l.agent]) == 0 {
+			continue
+		}
+		msg := c.out.Sends[i].Msg
+		msg.Acks = append(msg.Acks, c.acks.byAgent[l.agent]...)
+		delete(c.acks.byAgent, l.agent)
+	}
+	if c.acks.due.IsZero() || now.Before(c.acks.due) {
+		return
+	}
+	c.acks.due = time.Time{}
+	for _, a := range c.pool.Agents() {
+		list := c.acks.byAgent[a.ID]
+		if id, ok := c.linked[a.ID]; ok && len(list) > 0 {
+			c.message(id).Acks = list
+			c.stats.WastedAck++
+		}
+	}
+	clear(c.acks.byAgent)
+}
--- /dev/null
+++ b/core/dispatch/weight.go
@@ -0,0 +1,16 @@
+package dispatch
+
+// Bounds between which the response weight moves the settings. They come from
+// the curve in docs/MEASUREMENTS.md.
+const (
+	maxHedgeShare  = 0.05
+	minHedgeFactor = 1.5
+	maxHedgeFactor = 4.0
+)
+
+// Weigh sets what trades response time against wasted messages: weight 0 means
+// the fewest messages, 1 the shortest response times.
+func (s *Settings) Weigh(weight float64) {
+	s.HedgeShare = maxHedgeShare * weight
+	s.HedgeFactor = maxHedgeFactor - (maxHedgeFactor-minHedgeFactor)*weight
+}
--- /dev/null
+++ b/core/rank/agent.go
@@ -0,0 +1,129 @@
+package rank
+
+import (
+	"math"
+	"time"
+
+	"peridotpick.example/common/label"
+)
+
+// ID names one incarnation of an agent.
+type ID struct {
+	Agent       string
+	Incarnation uint64
+}
+
+// Tuning of what is learned about an agent.
+const (
+	// slowWeight and failWeight are the weights of a new observation.
+	slowWeight = 0.1
+	failWeight = 0.1
+	// minSamples is the number of results before an agent is judged.
+	minSamples = 8
+	// ejectFailRate is the failure rate from which an agent is ejected.
+	ejectFailRate = 0.5
+	// ejectShare bounds the ejected part of the pool.
+	ejectShare = 0.34
+	// probeBase is the first pause before a probe; it doubles up to probeMax.
+	probeBase = 500 * time.Millisecond
+	probeMax  = 20 * time.Second
+)
+
+// Agent is what an entry knows of one agent.
+type Agent struct {
+	ID         ID
+	Service    string
+	Worker     string
+	DataCentre string
+	Rack       string
+	Labels     label.Set
+	Slots      int
+	// Leaving agents get no new work.
+	Leaving bool
+	// Down agents have no link at present.
+	Down bool
+
+	// others is the load that other entries caused, as of reportedAt.
+	others     float64
+	reportedAt time.Time
+	// InFlight counts own tasks sent and not yet answered.
+	InFlight int
+
+	// slow is the learned ratio of run times here to the kind's mean elsewhere.
+	slow     float64
+	failRate float64
+	samples  int
+	meanRun  time.Duration
+
+	ejected    bool
+	probeAt    time.Time
+	probePause time.Duration
+	probing    bool
+}
+
+// Ejected reports whether the agent gets probes only.
+func (a *Agent) Ejected() bool { return a.ejected }
+
+// Slowness returns the learned ratio of run times here to those elsewhere.
+func (a *Agent) Slowness() float64 {
+	if a.slow == 0 {
+		return 1
+	}
+	return a.slow
+}
+
+// Report records a load report: total tasks at the agent and the entry's own part.
+func (a *Agent) Report(now time.Time, total, mine int) {
+	a.others = float64(max(0, total-mine))
+	a.reportedAt = now
+}
+
+// Sent records that a task was sent.
+func (a *Agent) Sent() { a.InFlight++ }
+
+// Answered records that a task sent earlier was answered, or given up.
+func (a *Agent) Answered() {
+	if a.InFlight > 0 {
+		a.InFlight--
+	}
+}
+
+// load estimates the tasks at the agent: the entry's own, which it knows, and
+// those of others, which fade with the mean run time since they end unseen.
+func (a *Agent) load(now time.Time) float64 {
+	others := a.others
+	if age := now.Sub(a.reportedAt); others > 0 && a.meanRun > 0 && age > 0 {
+		others *= math.Exp(-float64(age) / float64(a.meanRun))
+	}
+	return float64(a.InFlight) + others
+}
+
+// Load returns the estimated number of tasks at the agent.
+func (a *Agent) Load(now time.Time) float64 { return a.load(now) }
+
+// expectedFinish is the expected wait for a slot plus the run time here.
+func (a *Agent) expectedFinish(now time.Time, run time.Duration) time.Duration {
+	here := float64(run) * a.Slowness()
+	load := a.load(now)
+	wait := 0.0
+	if over := load - float64(a.Slots) + 1; over > 0 {
+		wait = over / float64(a.Slots) * here
+	}
+	// A small term spreads work among agents that all have free slots.
+	spread := load / float64(a.Slots) * here * spreadWeight
+	return time.Duration(wait + here + spread)
+}
+
+const spreadWeight = 0.05
+
+// probeDue reports whether an ejected agent may get one task to prove itself.
+func (a *Agent) probeDue(now time.Time) bool {
+	return !a.probing && !now.Before(a.probeAt)
+}
+
+// Probing marks that a probe is on its way.
+func (a *Agent) Probing() {
+	if a.ejected {
+		a.probing = true
+	}
+}
--- /dev/null
+++ b/lab/cluster/users.go
@@ -0,0 +1,56 @@
+package cluster
+
+import (
+	"time"
+
+	"peridotpick.example/common/config"
+	"peridotpick.example/common/settings"
+)
+
+// Names of the users' teams and services.
+const (
+	AssociationTeam    = "association"
+	AssociationService = "tally"
+	LicensingTeam      = "licensing"
+	LicensingService   = "renewal"
+)
+
+// writeLatency is a synced write of the platform.
+const writeLatency = 5 * time.Millisecond
+
+// Association is the deployment of the Hospitality Waste Ledger Association at
+// today's size.
+func Association() Shape {
+	return Shape{
+		Region: "nordkyst", DataCentres: []string{"hall-a", "hall-b", "hall-c", "hall-d"},
+		Service: AssociationService, Entries: 3, Agents: 11, Slots: 8, Connections: 64, Queue: 8,
+		RackSize: 3, Cores: 16, MemoryMB: 64 << 10, WakeTime: 2 * time.Second, WriteLatency: writeLatency,
+		Document: config.Document{
+			Teams: []config.Team{{Name: AssociationTeam, Weight: 1}},
+			Services: []config.Service{{Name: AssociationService, Kinds: []config.Kind{
+				{Name: "tray-scan", Repeatable: true, Class: "batch", MaxRun: settings.Duration(15 * time.Second)},
+				{Name: "shift-close", Class: "interactive", MaxRun: settings.Duration(15 * time.Second)},
+				{Name: "allergen-flag", Repeatable: true, Class: "urgent", MaxRun: settings.Duration(15 * time.Second)},
+			}}},
+			Policy: config.Policy{ResponseWeight: 0.8, Headroom: 0.3},
+		},
+	}
+}
+
+// Licensing is the deployment of the Dog Licensing Unit at today's size.
+func Licensing() Shape {
+	return Shape{
+		Region: "selangor-sel", DataCentres: []string{"bilik-a", "bilik-b", "bilik-c"},
+		Service: LicensingService, Entries: 3, Agents: 11, Slots: 8, Connections: 64, Queue: 8,
+		RackSize: 3, Cores: 32, MemoryMB: 128 << 10, WakeTime: 2 * time.Second, WriteLatency: writeLatency,
+		Document: config.Document{
+			Teams: []config.Team{{Name: LicensingTeam, Weight: 1}},
+			Services: []config.Service{{Name: LicensingService, Kinds: []config.Kind{
+				{Name: "renew", Class: "batch", MaxRun: settings.Duration(15 * time.Second)},
+				{Name: "counter-renew", Class: "interactive", MaxRun: settings.Duration(15 * time.Second)},
+				{Name: "tag-check", Repeatable: true, Class: "urgent", MaxRun: settings.Duration(15 * time.Second)},
+			}}},
+			Policy: config.Policy{ResponseWeight: 0.1, Headroom: 0.2},
+		},
+	}
+}
--- /dev/null
+++ b/service/agent/announcer.go
@@ -0,0 +1,195 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/dgryski/go-rendezvous"
+	"github.com/zeebo/xxh3"
+
+	"peridotpick.example/service/members"
+	"peridotpick.example/wire"
+)
+
+// Times of announcing.
+const (
+	// announceEvery is the pause between rounds while a link is missing.
+	announceEvery = 500 * time.Millisecond
+	// settledEvery is the pause while all links stand.
+	settledEvery = 2 * time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = time.Second
+	// askTableAfter is how long no entry has to answer before the table
+	// service is asked for the live entries.
+	askTableAfter = 3 * time.Second
+)
+
+// announcer keeps links to a subset of the live entries, chosen by rendezvous
+// hashing, so that each entry gets an even share of the agents and few links
+// move when an entry comes or goes.
+type announcer struct {
+	agent *Agent
+
+	mu      sync.Mutex
+	entries map[string]wire.EntryInfo
+	links   map[string]int
+	heard   time.Time
+	halted  bool
+}
+
+func newAnnouncer(a *Agent) *announcer {
+	return &announcer{agent: a, entries: make(map[string]wire.EntryInfo), links: make(map[string]int), heard: time.Now()}
+}
+
+// key identifies an entry by address, since an address holds one entry at a time.
+func key(e wire.EntryInfo) string { return e.Address }
+
+func (n *announcer) linked(entry wire.EntryInfo, entries []wire.EntryInfo) {
+	n.mu.Lock()
+	n.links[key(entry)]++
+	n.mu.Unlock()
+	n.learn(entries)
+}
+
+func (n *announcer) unlinked(entry wire.EntryInfo) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[key(entry)]--
+	if n.links[key(entry)] <= 0 {
+		delete(n.links, key(entry))
+	}
+}
+
+// learn replaces the live entries.
+func (n *announcer) learn(entries []wire.EntryInfo) {
+	if len(entries) == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heard = time.Now()
+	clear(n.entries)
+	for _, e := range entries {
+		n.entries[key(e)] = e
+	}
+}
+
+func (n *announcer) stop() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.halted = true
+}
+
+// missing returns the chosen entries that have no link, and whether all that
+// is known has been silent for so long that the table should be asked.
+func (n *announcer) missing() (addresses []string, askTable bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.halted {
+		return nil, false
+	}
+	for _, address := range n.chosen() {
+		if n.links[address] == 0 {
+			addresses = append(addresses, address)
+		}
+	}
+	lonely := len(n.links) == 0 && time.Since(n.heard) > askTableAfter
+	return addresses, lonely
+}
+
+// chosen returns the addresses of the entries to be linked to.
+func (n *announcer) chosen() []string {
+	if len(n.entries) == 0 {
+		return n.agent.settings.Entries
+	}
+	all := make([]string, 0, len(n.entries))
+	for address := range n.entries {
+		all = append(all, address)
+	}
+	sort.Strings(all)
+	return Subset(n.agent.info.ID, all, n.agent.settings.Fanout)
+}
+
+// Subset returns the n entries that rank highest for the agent by rendezvous hashing.
+func Subset(agent string, entries []string, n int) []string {
+	if len(entries) <= n {
+		return entries
+	}
+	ring := rendezvous.New(entries, xxh3.HashString)
+	picked := make([]string, 0, n)
+	for range n {
+		top := ring.Lookup(agent)
+		picked = append(picked, top)
+		ring.Remove(top)
+	}
+	return picked
+}
+
+func (n *announcer) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		addresses, askTable := n.missing()
+		var round sync.WaitGroup
+		for _, address := range addresses {
+			round.Add(1)
+			go func() {
+				defer round.Done()
+				n.announce(ctx, address)
+			}()
+		}
+		round.Wait()
+		if askTable {
+			n.askTable(ctx)
+		}
+		pause := settledEvery
+		if len(addresses) > 0 {
+			pause = announceEvery
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (n *announcer) announce(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	conn, err := n.agent.deps.Transport.Dial(ctx, address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	reply, err := wire.Announce(ctx, conn, &wire.AnnounceRequest{Agent: n.agent.info})
+	if err != nil {
+		return
+	}
+	n.learn(reply.Entries)
+}
+
+// askTable learns the live entries from the platform when none is reachable.
+func (n *announcer) askTable(ctx context.Context) {
+	if n.agent.deps.Table == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	rows, err := n.agent.deps.Table.List(ctx, members.Prefix(n.agent.settings.Region), "", members.MaxEntries)
+	if err != nil {
+		return
+	}
+	var entries []wire.EntryInfo
+	for _, row := range rows {
+		var member members.Row
+		if json.Unmarshal(row.Value, &member) == nil {
+			entries = append(entries, member.Entry)
+		}
+	}
+	n.learn(entries)
+	n.mu.Lock()
+	n.heard = time.Now()
+	n.mu.Unlock()
+}
--- /dev/null
+++ b/service/entry/page.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"bytes"
+	_ "embed" // the page
+	"html/template"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"peridotpick.example/common/config"
+	"peridotpick.example/common/errkind"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+// pageData is what the operators' page shows.
+type pageData struct {
+	Entry     string
+	At        string
+	Config    uint64
+	Fresh     bool
+	Workers   WorkersReply
+	Instances []InstanceView
+	Teams     []TeamView
+	Refusals  map[string]uint64
+}
+
+// getPage serves the operators' page.
+func (e *Entry) getPage(ctx *fasthttp.RequestCtx, _ config.Identity) {
+	data := pageData{
+		Entry: e.self.ID, At: time.Now().UTC().Format(time.RFC3339), Config: e.configVersion(),
+		Fresh: e.watcher.Fresh(time.Now()), Workers: e.workersView(), Instances: e.instances(),
+		Teams: e.teams(), Refusals: e.refusals.byName(),
+	}
+	var page bytes.Buffer
+	if err := pageTemplate.Execute(&page, data); err != nil {
+		writeError(ctx, errkind.New(errkind.Internal, err.Error()))
+		return
+	}
+	ctx.SetContentType("text/html; charset=utf-8")
+	ctx.SetBody(page.Bytes())
+}
