--- a/core/dispatch/claims.go
+++ b/core/dispatch/claims.go
@@ -52,7 +52,7 @@
 func (c *Core) attachClaim(now time.Time, r *Request, row *claim.Row, version uint64) {
 	j := c.jobs[r.Submission]
 	if j != nil {
-		c.attach(j, r)
+		c.attach(now, j, r)
 		return
 	}
 	j = c.newJob(now, r)
@@ -174,20 +174,36 @@
 func (c *Core) applied(now time.Time, j *job, row *claim.Row) {
 	j.candidates = row.Candidates
 	j.epoch = row.Epoch
-	switch {
-	case j.phase == phaseClosing && row.Phase != claim.Running:
-		c.answer(j, j.outcome)
-		c.count(j.outcome)
-		c.end(now, j)
-	case j.phase == phaseClosing:
-		c.writeOutcome(j) // an earlier widening was under way
-	case j.gaveUp:
-		c.withdraw(now, j, &wire.Outcome{Kind: errkind.DeadlineTooShort})
-	case j.phase == phaseTaking:
+	switch j.phase {
+	case phaseClosing:
+		c.closingApplied(now, j, row)
+	case phaseTaking:
+		if j.gaveUp {
+			c.onlyGather(now, j)
+		}
 		c.beginFencing(now, j)
-	case j.phase == phaseRunning:
+	case phaseRunning:
 		j.widening = false
 		c.resolveAmong(j)
+	case phaseClaiming:
+		c.claimApplied(now, j)
+	}
+}
+
+func (c *Core) closingApplied(now time.Time, j *job, row *claim.Row) {
+	if row.Phase == claim.Running {
+		c.writeOutcome(j) // this was an earlier widening
+		return
+	}
+	c.answer(j, j.outcome)
+	c.count(j.outcome)
+	c.end(now, j)
+}
+
+func (c *Core) claimApplied(now time.Time, j *job) {
+	switch {
+	case j.gaveUp:
+		c.withdraw(now, j, &wire.Outcome{Kind: errkind.DeadlineTooShort})
 	case j.cancelAsked:
 		c.makeTasks(j)
 		c.fail(now, j, errkind.Canceled, "canceled before it started")
@@ -198,6 +214,14 @@
 	}
 }
 
+// onlyGather makes j gather what a lost owner started and start nothing more:
+// its callers were answered, but what ran must be known before it is closed.
+func (c *Core) onlyGather(now time.Time, j *job) {
+	j.orphan = true
+	j.deadline = now.Add(orphanDeadline)
+	j.deadTimer = c.after(j.deadline, timer{kind: timerDeadline, job: j})
+}
+
 // mismatch handles a write that met another row.
 func (c *Core) mismatch(now time.Time, j *job, r claim.Result) {
 	if j.gaveUp || (len(j.waiters) == 0 && j.phase != phaseClaiming) {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"peridotpick.example/common/errkind"
@@ -182,6 +183,9 @@
 		return
 	}
 	j.ended = true
+	// Nobody may be left without an answer, whatever path led here.
+	c.answer(j, &wire.Outcome{Kind: errkind.FateUnknown, RetryAfter: time.Second,
+		Detail: "this entry gave the submission up; ask again with the same key"})
 	c.disarm(j.deadTimer)
 	delete(c.jobs, j.submission)
 	team := c.team(j.team)
@@ -262,7 +266,7 @@
 
 // neverStarted reports whether it is proved that no task of j was started.
 func (j *job) neverStarted() bool {
-	if len(j.gone) > 0 || len(j.unfenced) > 0 {
+	if j.unasked() {
 		return false
 	}
 	for _, t := range j.tasks {
@@ -273,14 +277,18 @@
 	return true
 }
 
+// unasked reports whether a candidate of an earlier owner has not said what it
+// started: then a task that no other candidate reported may have run there.
+func (j *job) unasked() bool { return len(j.gone) > 0 || len(j.unfenced) > 0 }
+
 // outcome returns what is known of a task of a failed job.
 func (t *task) outcome() wire.TaskOutcome {
 	switch {
 	case t.result != nil:
 		return wire.TaskOutcome{Kind: errkind.OK, Ran: errkind.DidRun}
-	case t.kind == errkind.TaskFailed:
+	case t.kind == errkind.TaskFailed && len(t.flights) == 0 && !t.mayHaveRun:
 		return wire.TaskOutcome{Kind: errkind.TaskFailed, Ran: errkind.DidRun}
-	case len(t.flights) > 0 || t.mayHaveRun || t.kind != errkind.OK:
+	case len(t.flights) > 0 || t.mayHaveRun || t.kind != errkind.OK || t.job.unasked():
 		return wire.TaskOutcome{Kind: errkind.FateUnknown, Ran: errkind.Unknown}
 	}
 	return wire.TaskOutcome{Kind: errkind.Canceled, Ran: errkind.NotRun}
@@ -328,6 +336,22 @@
 	}
 }
 
+// waitOver answers a caller whose deadline passed before that of the
+// submission it attached to.
+func (c *Core) waitOver(now time.Time, j *job, request uint64) {
+	at := slices.IndexFunc(j.waiters, func(w waiter) bool { return w.id == request })
+	if at < 0 {
+		return
+	}
+	j.waiters = slices.Delete(j.waiters, at, at+1)
+	c.out.Answers = append(c.out.Answers, Answer{Request: request, Outcome: &wire.Outcome{
+		Kind: errkind.DeadlineExceeded, Detail: "the submission has not ended yet; ask again with the same key",
+	}})
+	if len(j.waiters) == 0 && j.phase == phaseAttached {
+		c.end(now, j)
+	}
+}
+
 // deadlinePassed gives j up.
 func (c *Core) deadlinePassed(now time.Time, j *job) {
 	switch j.phase {
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -315,7 +315,7 @@
 	t.state = taskInDoubt
 	t.mayHaveRun = true
 	j := t.job
-	if !t.spec.Repeatable {
+	if !t.spec.Repeatable || j.orphan {
 		c.fail(now, j, errkind.FateUnknown, "a task that may not be repeated may have started on a backend server that is gone")
 		return
 	}
@@ -323,7 +323,8 @@
 		c.lapsed(now, t, f.agent, f.attempt)
 		return
 	}
-	c.after(f.sentAt.Add(t.spec.MaxRun), timer{kind: timerLapse, job: j, task: t, agent: f.agent, attempt: f.attempt})
+	// Whatever started there did so before now.
+	c.after(now.Add(t.spec.MaxRun), timer{kind: timerLapse, job: j, task: t, agent: f.agent, attempt: f.attempt})
 }
 
 // lapsed starts a repeatable task again whose earlier attempt has surely ended.
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -65,7 +65,7 @@
 // Submit handles a caller's request.
 func (c *Core) Submit(now time.Time, r *Request) {
 	if j := c.jobs[r.Submission]; j != nil {
-		c.attach(j, r)
+		c.attach(now, j, r)
 		return
 	}
 	if kind, detail, wait := c.inadmissible(now, r); kind != errkind.OK {
@@ -88,13 +88,14 @@
 }
 
 // attach adds a caller to a submission that this entry works on already.
-func (c *Core) attach(j *job, r *Request) {
+func (c *Core) attach(now time.Time, j *job, r *Request) {
 	if j.digest != r.Digest {
 		c.refuse(r.ID, errkind.KeyConflict, "the key belongs to a request with other content", 0)
 		return
 	}
 	c.stats.Attached++
 	j.waiters = append(j.waiters, waiter{r.ID, r.Async})
+	c.after(now.Add(r.Deadline), timer{kind: timerWaiter, job: j, request: r.ID})
 	if j.phase != phaseClaiming {
 		c.accept(j)
 	}
--- a/core/dispatch/timers.go
+++ b/core/dispatch/timers.go
@@ -17,6 +17,8 @@
 	timerHedge
 	timerLapse
 	timerReclaim
+	// timerWaiter ends the wait of a caller that attached to a submission.
+	timerWaiter
 )
 
 // timer is one entry of the heap. A timer whose job has ended is skipped.
@@ -28,6 +30,8 @@
 	// agent and attempt name the flight that a hedge or lapse is about.
 	agent   rank.ID
 	attempt uint32
+	// request is the caller whose wait ends.
+	request uint64
 	pos     int
 	seq     uint64
 }
@@ -69,6 +73,8 @@
 		c.hedgeStraggler(now, t.task, t.agent, t.attempt)
 	case timerLapse:
 		c.lapsed(now, t.task, t.agent, t.attempt)
+	case timerWaiter:
+		c.waitOver(now, t.job, t.request)
 	case timerReclaim:
 		c.writeFreshClaim(now, t.job)
 	}
