--- a/cmd/peridotpick/main.go
+++ b/cmd/peridotpick/main.go
@@ -29,6 +29,7 @@
 		Usage: "dispatcher for sub-second tasks",
 		Commands: []*cli.Command{
 			demoCommand(),
+			loadCommand(),
 		},
 	}
 }
--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -3,8 +3,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -230,3 +232,6 @@
 
 // String returns the base address, for messages.
 func (c *Client) String() string { return fmt.Sprintf("entry at %s", c.base) }
+
+// Refused reports whether err means that nothing listens at the address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -106,7 +106,7 @@
 		Shape: shape, Table: standin.NewTable(shape.Seed, 0, 0), Objects: standin.NewObjects(),
 		Journal: backendserver.NewJournal(), nodes: make(map[string]*Node),
 	}
-	c.Table.SetFaults(standin.Faults{WriteLatency: shape.WriteLatency, ReadLatency: shape.WriteLatency / 5, Jitter: 0.2})
+	c.Table.SetFaults(c.TableFaults())
 	c.Workers = standin.NewWorkers(shape.WakeTime, c.machines())
 	c.Workers.OnAwake = func(id string) { _ = c.StartNode(id) }
 	c.Workers.OnAsleep = func(id string) { c.StopNode(id) }
@@ -366,3 +366,8 @@
 	all.Wait()
 	_ = c.platform.Close()
 }
+
+// TableFaults returns the faults of a healthy table service of the shape.
+func (c *Cluster) TableFaults() standin.Faults {
+	return standin.Faults{WriteLatency: c.Shape.WriteLatency, ReadLatency: c.Shape.WriteLatency / 5, Jitter: 0.2}
+}
