rank: each agent has a home entry; acknowledgements wait per agent

Cause: three entries with stale load reports choose the same agents; all pending acknowledgements were flushed when the oldest was due.

Change: agents are dealt out to entries as homes, preferred while they have a free slot. Acknowledgements are due per agent.

--- a/cmd/peridotpick/load.go
+++ b/cmd/peridotpick/load.go
@@ -36,6 +36,7 @@
 			&cli.StringFlag{Name: "faults", Usage: "JSON file with a schedule of faults"},
 			&cli.FloatFlag{Name: "flood", Usage: "load of a second, flooding team, as a part of capacity"},
 			&cli.FloatFlag{Name: "weight", Value: -1, Usage: "response weight 0 to 1 in place of the deployment's"},
+			&cli.IntFlag{Name: "entries", Usage: "number of entries in place of the deployment's"},
 			&cli.IntFlag{Name: "asleep", Usage: "workers asleep at the start"},
 			&cli.FloatFlag{Name: "misdeclared", Value: 1, Usage: "factor by which the assumed run time is wrong"},
 			&cli.StringFlag{Name: "report", Usage: "folder for report.json, plots and a page"},
@@ -93,6 +94,9 @@
 		return o, err
 	}
 	o.Shape.Asleep = cmd.Int("asleep")
+	if n := cmd.Int("entries"); n > 0 {
+		o.Shape.Entries = n
+	}
 	if w := cmd.Float("weight"); w >= 0 {
 		o.Shape.Document.Policy.ResponseWeight = w
 	}
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -106,6 +106,8 @@
 	draining   bool
 	// shares is the number of live entries among which quotas are divided.
 	shares int
+	// entries are the names of the live entries.
+	entries []string
 	// openTasks counts the tasks of open submissions.
 	openTasks int
 	stats     Stats
@@ -151,9 +153,10 @@
 		retry:   bucket{tokens: settings.RetryBurst, max: settings.RetryBurst},
 		hedge:   bucket{tokens: 0, max: settings.HedgeBurst},
 		shares:  1,
+		entries: []string{self.ID},
 		starts:  make(map[startKey]*wire.StartBatch),
 		lookups: make(map[string][]lookup),
-		acks:    ackBook{byAgent: make(map[rank.ID][]wire.Ack)},
+		acks:    ackBook{byAgent: make(map[rank.ID]*pendingAcks)},
 	}
 }
 
@@ -173,8 +176,13 @@
 // it each time the entry's own row is confirmed.
 func (c *Core) SetLease(until time.Time) { c.leaseUntil = until }
 
-// SetShares states among how many live entries quotas are divided; at least 1.
-func (c *Core) SetShares(n int) { c.shares = max(1, n) }
+// SetEntries names the live entries, this one included: quotas are divided
+// among them, and each agent has one of them as its home.
+func (c *Core) SetEntries(names []string) {
+	c.entries = names
+	c.shares = max(1, len(names))
+	c.pool.SetHomes(c.self.ID, names)
+}
 
 // SetConfigVersion sets the version stamped on messages to agents.
 func (c *Core) SetConfigVersion(v uint64) { c.configVersion = v }
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -23,6 +23,7 @@
 	if known == nil {
 		known = newAgent(agent, info)
 		c.pool.Add(known)
+		c.pool.SetHomes(c.self.ID, c.entries)
 		for _, j := range c.sortedJobs() {
 			c.resolveAmong(j)
 		}
@@ -69,6 +70,7 @@
 		delete(c.byAgent, agent.Agent)
 	}
 	c.pool.Remove(agent)
+	c.pool.SetHomes(c.self.ID, c.entries)
 	for _, j := range c.sortedJobs() {
 		if removeID(&j.unfenced, agent) {
 			j.gone = append(j.gone, agent)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -224,17 +224,29 @@
 
 // ackBook holds acknowledgements that wait for a message to ride on.
 type ackBook struct {
-	byAgent map[rank.ID][]wire.Ack
-	due     time.Time
+	byAgent map[rank.ID]*pendingAcks
+	// due is when some may have to be sent on their own; zero if there are none.
+	due time.Time
+}
+
+// pendingAcks are those for one agent.
+type pendingAcks struct {
+	list []wire.Ack
+	due  time.Time
 }
 
 func (c *Core) ack(now time.Time, agent rank.ID, j *job) {
 	if _, ok := c.linked[agent]; !ok {
 		return
 	}
-	c.acks.byAgent[agent] = append(c.acks.byAgent[agent], wire.Ack{Submission: j.submission, Epoch: max(1, j.epoch)})
-	if c.acks.due.IsZero() {
-		c.acks.due = now.Add(c.settings.AckDelay)
+	pending := c.acks.byAgent[agent]
+	if pending == nil {
+		pending = &pendingAcks{due: now.Add(c.settings.AckDelay)}
+		c.acks.byAgent[agent] = pending
+	}
+	pending.list = append(pending.list, wire.Ack{Submission: j.submission, Epoch: max(1, j.epoch)})
+	if c.acks.due.IsZero() || pending.due.Before(c.acks.due) {
+		c.acks.due = pending.due
 	}
 }
 
@@ -243,11 +255,11 @@
 func (c *Core) flushAcks(now time.Time) {
 	for i := range c.out.Sends {
 		l := c.links[c.out.Sends[i].Link]
-		if l == nil || len(c.acks.byAgent[l.agent]) == 0 {
+		if l == nil || c.acks.byAgent[l.agent] == nil {
 			continue
 		}
 		msg := c.out.Sends[i].Msg
-		msg.Acks = append(msg.Acks, c.acks.byAgent[l.agent]...)
+		msg.Acks = append(msg.Acks, c.acks.byAgent[l.agent].list...)
 		delete(c.acks.byAgent, l.agent)
 	}
 	if c.acks.due.IsZero() || now.Before(c.acks.due) {
@@ -255,11 +267,29 @@
 	}
 	c.acks.due = time.Time{}
 	for _, a := range c.pool.Agents() {
-		list := c.acks.byAgent[a.ID]
-		if id, ok := c.linked[a.ID]; ok && len(list) > 0 {
-			c.message(id).Acks = list
-			c.stats.WastedAck++
+		c.sendAcks(now, a.ID)
+	}
+	for agent := range c.acks.byAgent {
+		if _, ok := c.linked[agent]; !ok {
+			delete(c.acks.byAgent, agent) // it ages the results out by itself
 		}
 	}
-	clear(c.acks.byAgent)
+}
+
+// sendAcks sends the acknowledgements for an agent on their own if they are due.
+func (c *Core) sendAcks(now time.Time, agent rank.ID) {
+	pending := c.acks.byAgent[agent]
+	id, ok := c.linked[agent]
+	if pending == nil || !ok {
+		return
+	}
+	if now.Before(pending.due) {
+		if c.acks.due.IsZero() || pending.due.Before(c.acks.due) {
+			c.acks.due = pending.due
+		}
+		return
+	}
+	delete(c.acks.byAgent, agent)
+	c.message(id).Acks = pending.list
+	c.stats.WastedAck++
 }
--- a/core/rank/agent.go
+++ b/core/rank/agent.go
@@ -40,6 +40,8 @@
 	Slots      int
 	// Leaving agents get no new work.
 	Leaving bool
+	// Home is set if this entry is the one that mainly uses the agent.
+	Home bool
 	// Down agents have no link at present.
 	Down bool
 
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -42,6 +42,8 @@
 	// Allowance is the number of tasks beyond its slots that an agent may be
 	// given by the Finish policy.
 	Allowance int
+	// Homes prefers the agents that mainly this entry uses.
+	Homes bool
 	// LocalDataCentre is that of the entry.
 	LocalDataCentre string
 	// CrossLatency is the round trip to another data centre.
@@ -53,7 +55,7 @@
 // DefaultParams returns the settings used unless configured otherwise.
 func DefaultParams() Params {
 	return Params{
-		Policy: Finish, FullScan: 16, Sample: 6, Allowance: 0,
+		Policy: Finish, FullScan: 16, Sample: 6, Allowance: 0, Homes: true,
 		CrossLatency: 2 * time.Millisecond, DefaultRunTime: 200 * time.Millisecond,
 	}
 }
@@ -82,6 +84,7 @@
 	// generation changes with the set of agents.
 	generation uint64
 	scratch    []*Agent
+	homes      []*Agent
 	next       int
 	rng        *rand.Rand
 	ejected    int
@@ -227,11 +230,33 @@
 	case LeastLoaded:
 		return p.pickSampled(now, feasible, kind, avoid, len(feasible), byLoad)
 	}
-	sample := len(feasible)
-	if sample > p.params.FullScan {
-		sample = p.params.Sample
+	if choice := p.pickHome(now, feasible, kind, avoid); choice.Agent != nil {
+		return choice
+	}
+	return p.pickSampled(now, feasible, kind, avoid, p.sample(feasible), byFinish)
+}
+
+// sample returns how many of a list are compared.
+func (p *Pool) sample(list []*Agent) int {
+	if len(list) > p.params.FullScan {
+		return p.params.Sample
+	}
+	return len(list)
+}
+
+// pickHome chooses among the agents that mainly this entry uses: of these it
+// knows the load best, since few others send to them.
+func (p *Pool) pickHome(now time.Time, feasible []*Agent, kind Kind, avoid []ID) Choice {
+	if !p.params.Homes {
+		return Choice{}
+	}
+	p.homes = p.homes[:0]
+	for _, a := range feasible {
+		if a.Home {
+			p.homes = append(p.homes, a)
+		}
 	}
-	return p.pickSampled(now, feasible, kind, avoid, sample, byFinish)
+	return p.pickSampled(now, p.homes, kind, avoid, p.sample(p.homes), byFinish)
 }
 
 type scoring int
--- a/service/entry/control.go
+++ b/service/entry/control.go
@@ -107,7 +107,11 @@
 	if !sameEntries(before, live) {
 		e.links.broadcast(&wire.ToAgent{Entries: live})
 		e.claims.SetShares(len(live))
-		e.post(func(core *dispatch.Core, _ time.Time) { core.SetShares(len(live)) })
+		names := make([]string, len(live))
+		for i := range live {
+			names[i] = live[i].ID
+		}
+		e.post(func(core *dispatch.Core, _ time.Time) { core.SetEntries(names) })
 	}
 	return nil
 }
