rank: an agent is usable only if a whole slot is expected to be free

Cause: the load of others fades with time, so that a full agent looked usable the moment after its report.

Change: load + 1 must fit into the slots.

--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -302,7 +302,7 @@
 	if a.ejected && !a.probeDue(now) {
 		return false
 	}
-	return a.load(now) < float64(a.Slots+p.params.Allowance)
+	return a.load(now)+1 <= float64(a.Slots+p.params.Allowance)
 }
 
 func (p *Pool) score(now time.Time, a *Agent, run time.Duration, how scoring) time.Duration {
