rank: work leaves its home only for agents that probably have a free slot

Cause: away from home the load is known badly; a full agent looked free soon after its report, and work queued there while slots were free elsewhere.

Change: work sent away from home is refused rather than queued (NoWait); the load of others fades into the mean load of all agents, not into nothing; away from home AwayMargin slots more than one must be expected free. A refusal of several tasks in one message counts as what it is: two messages.

--- a/core/agentcore/submission.go
+++ b/core/agentcore/submission.go
@@ -89,7 +89,7 @@
 		c.refuse(link, batch, task, errkind.Internal)
 		return
 	}
-	if !c.makeRoom(batch.Class) {
+	if batch.NoWait && c.running+c.queue.Len() >= c.settings.Info.Slots || !c.makeRoom(batch.Class) {
 		c.refuse(link, batch, task, errkind.Overloaded)
 		return
 	}
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -91,9 +91,14 @@
 	if a == nil {
 		return
 	}
-	a.Report(now, msg.Load.Running+msg.Load.Queued, msg.Load.Mine)
+	c.pool.Report(now, a, msg.Load.Running+msg.Load.Queued, msg.Load.Mine)
 	a.Leaving = msg.Leaving
+	refusedOf := ""
 	for _, r := range msg.Results {
+		if r.NotRun && r.Submission != refusedOf {
+			refusedOf = r.Submission
+			c.stats.WastedRefused += 2 // the batch and its refusal
+		}
 		c.result(now, a, r)
 	}
 	for i := range msg.Fences {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -16,6 +16,7 @@
 	link       LinkID
 	submission string
 	class      uint8
+	noWait     bool
 }
 
 // enqueue makes t wait for an agent.
@@ -104,10 +105,10 @@
 	a.Probing()
 	j.touch(a.ID)
 	c.stats.Starts++
-	key := startKey{id, j.submission, t.spec.Class}
+	key := startKey{id, j.submission, t.spec.Class, choice.NoWait}
 	batch := c.starts[key]
 	if batch == nil {
-		batch = &wire.StartBatch{Submission: j.submission, Epoch: j.epoch, Remaining: j.deadline.Sub(now), Class: t.spec.Class}
+		batch = &wire.StartBatch{Submission: j.submission, Epoch: j.epoch, Remaining: j.deadline.Sub(now), Class: t.spec.Class, NoWait: choice.NoWait}
 		c.starts[key] = batch
 		msg := c.message(id)
 		msg.Starts = append(msg.Starts, batch)
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -47,7 +47,6 @@
 
 // notRun handles a refusal by the agent.
 func (c *Core) notRun(now time.Time, a *rank.Agent, t *task, r *wire.Result) {
-	c.stats.WastedRefused += 2
 	switch r.Kind {
 	case errkind.Fenced:
 		if t.job.claimed {
--- a/core/rank/agent.go
+++ b/core/rank/agent.go
@@ -74,12 +74,16 @@
 	return a.slow
 }
 
-// Report records a load report: total tasks at the agent and the entry's own part.
-func (a *Agent) Report(now time.Time, total, mine int) {
+// Report records a load report of a: total tasks there and the entry's own part.
+func (p *Pool) Report(now time.Time, a *Agent, total, mine int) {
 	a.others = float64(max(0, total-mine))
 	a.reportedAt = now
+	p.utilization += utilizationWeight * (float64(total)/float64(a.Slots) - p.utilization)
 }
 
+// utilizationWeight is that of one report in the mean load of all agents.
+const utilizationWeight = 0.02
+
 // Sent records that a task was sent.
 func (a *Agent) Sent() { a.InFlight++ }
 
@@ -90,23 +94,26 @@
 	}
 }
 
-// load estimates the tasks at the agent: the entry's own, which it knows, and
-// those of others, which fade with the mean run time since they end unseen.
-func (a *Agent) load(now time.Time) float64 {
+// Load estimates the tasks at the agent: the entry's own, which it knows, and
+// those of others. What a report said of these fades, within the mean run time,
+// into what the mean load of all agents lets expect.
+func (p *Pool) Load(now time.Time, a *Agent) float64 {
+	own := float64(a.InFlight)
 	others := a.others
-	if age := now.Sub(a.reportedAt); others > 0 && a.meanRun > 0 && age > 0 {
-		others *= math.Exp(-float64(age) / float64(a.meanRun))
+	if age := now.Sub(a.reportedAt); a.meanRun > 0 && age > 0 {
+		kept := math.Exp(-float64(age) / float64(a.meanRun))
+		expected := max(0, p.utilization*float64(a.Slots)-own)
+		if a.Home {
+			expected = 0 // few others send here
+		}
+		others = others*kept + expected*(1-kept)
 	}
-	return float64(a.InFlight) + others
+	return own + others
 }
 
-// Load returns the estimated number of tasks at the agent.
-func (a *Agent) Load(now time.Time) float64 { return a.load(now) }
-
 // expectedFinish is the expected wait for a slot plus the run time here.
-func (a *Agent) expectedFinish(now time.Time, run time.Duration) time.Duration {
+func (a *Agent) expectedFinish(load float64, run time.Duration) time.Duration {
 	here := float64(run) * a.Slowness()
-	load := a.load(now)
 	wait := 0.0
 	if over := load - float64(a.Slots) + 1; over > 0 {
 		wait = over / float64(a.Slots) * here
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -44,6 +44,9 @@
 	Allowance int
 	// Homes prefers the agents that mainly this entry uses.
 	Homes bool
+	// AwayMargin is how many slots more than one must be expected to be free at
+	// an agent whose home is another entry.
+	AwayMargin float64
 	// LocalDataCentre is that of the entry.
 	LocalDataCentre string
 	// CrossLatency is the round trip to another data centre.
@@ -90,6 +93,8 @@
 	ejected    int
 	// meanRun is the mean run time over all kinds, in nanoseconds.
 	meanRun float64
+	// utilization is the mean load of agents as a part of their slots.
+	utilization float64
 }
 
 // candidates caches the feasible agents of one requirement until the set of agents changes.
@@ -198,6 +203,8 @@
 	Agent *Agent
 	// RunnerUp is the second best that was compared, or nil.
 	RunnerUp *Agent
+	// NoWait is set if the agent should refuse rather than queue the task.
+	NoWait bool
 	// Finish and RunnerUpFinish are the expected times to completion.
 	Finish, RunnerUpFinish time.Duration
 }
@@ -233,7 +240,9 @@
 	if choice := p.pickHome(now, feasible, kind, avoid); choice.Agent != nil {
 		return choice
 	}
-	return p.pickSampled(now, feasible, kind, avoid, p.sample(feasible), byFinish)
+	choice := p.pickSampled(now, feasible, kind, avoid, p.sample(feasible), byFinish)
+	choice.NoWait = p.params.Homes && choice.Agent != nil && !choice.Agent.Home
+	return choice
 }
 
 // sample returns how many of a list are compared.
@@ -302,14 +311,18 @@
 	if a.ejected && !a.probeDue(now) {
 		return false
 	}
-	return a.load(now)+1 <= float64(a.Slots+p.params.Allowance)
+	margin := 0.0
+	if p.params.Homes && !a.Home {
+		margin = p.params.AwayMargin
+	}
+	return p.Load(now, a)+1+margin <= float64(a.Slots+p.params.Allowance)
 }
 
 func (p *Pool) score(now time.Time, a *Agent, run time.Duration, how scoring) time.Duration {
 	if how == byLoad {
-		return time.Duration(a.load(now) * float64(time.Second))
+		return time.Duration(p.Load(now, a) * float64(time.Second))
 	}
-	finish := a.expectedFinish(now, run)
+	finish := a.expectedFinish(p.Load(now, a), run)
 	if a.DataCentre != p.params.LocalDataCentre {
 		finish += p.params.CrossLatency
 	}
--- a/service/entry/admin.go
+++ b/service/entry/admin.go
@@ -189,7 +189,7 @@
 	for _, a := range pool.Agents() {
 		views = append(views, WorkerView{
 			Agent: a.ID.Agent, Worker: a.Worker, Service: a.Service, DataCentre: a.DataCentre, Rack: a.Rack,
-			Slots: a.Slots, Load: a.Load(now), Slowness: a.Slowness(), State: agentState(a),
+			Slots: a.Slots, Load: pool.Load(now, a), Slowness: a.Slowness(), State: agentState(a),
 		})
 	}
 	return views
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -96,6 +96,9 @@
 	// Class orders the agent's queue: lower values first.
 	Class uint8       `cbor:"4,keyasint"`
 	Tasks []TaskStart `cbor:"5,keyasint"`
+	// NoWait asks to refuse tasks that find no free slot, since the sender knows
+	// other agents that may have one.
+	NoWait bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Cancel withdraws tasks of a submission that have not started and asks to
