rank: patience for an agent at home runs out within the mean run time

Cause: with a fixed margin, work of an entry whose home is full waits although others have free slots; acknowledgements were still sent on their own.

Change: AwayMargin shrinks to nothing while a task waits for the mean run time. AckDelay is 5 s instead of 1 s.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -101,6 +101,8 @@
 	checksum uint64
 	summed   bool
 	laneName string
+	// since is when the task began to wait.
+	since time.Time
 	// avoid are agents that failed the task.
 	avoid  []rank.ID
 	result *wire.Result
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -21,6 +21,9 @@
 
 // enqueue makes t wait for an agent.
 func (c *Core) enqueue(now time.Time, t *task) {
+	if t.state != taskWaiting || t.since.IsZero() {
+		t.since = now
+	}
 	t.state = taskWaiting
 	if t.queued {
 		return
@@ -88,9 +91,9 @@
 
 func (c *Core) pick(now time.Time, t *task, avoid []rank.ID) rank.Choice {
 	if t.job.claimed {
-		return c.pool.PickAmong(now, t.job.among, t.spec.requirement(), t.spec.kind(), avoid)
+		return c.pool.PickAmong(now, t.job.among, t.spec.requirement(), t.spec.kind(), now.Sub(t.since), avoid)
 	}
-	return c.pool.Pick(now, t.spec.requirement(), t.spec.kind(), avoid)
+	return c.pool.Pick(now, t.spec.requirement(), t.spec.kind(), now.Sub(t.since), avoid)
 }
 
 // send adds an attempt of t to the batch for the chosen agent.
@@ -163,7 +166,7 @@
 	if t.state != taskInFlight || len(t.flights) != 1 || t.flights[0].attempt != attempt {
 		return
 	}
-	choice := c.pool.Pick(now, t.spec.requirement(), t.spec.kind(), []rank.ID{agent})
+	choice := c.pool.Pick(now, t.spec.requirement(), t.spec.kind(), 0, []rank.ID{agent})
 	if choice.Agent == nil || !c.hedge.spend() {
 		return
 	}
--- a/core/dispatch/settings.go
+++ b/core/dispatch/settings.go
@@ -64,7 +64,7 @@
 		PeerRetry:     200 * time.Millisecond,
 		CandidateWait: 300 * time.Millisecond,
 		Spares:        3,
-		AckDelay:      time.Second,
+		AckDelay:      5 * time.Second,
 		ClassShare:    [Classes]float64{1, 0.8, 0.6},
 	}
 }
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -45,7 +45,8 @@
 	// Homes prefers the agents that mainly this entry uses.
 	Homes bool
 	// AwayMargin is how many slots more than one must be expected to be free at
-	// an agent whose home is another entry.
+	// an agent whose home is another entry. It shrinks to none while the task
+	// waits for the mean run time.
 	AwayMargin float64
 	// LocalDataCentre is that of the entry.
 	LocalDataCentre string
@@ -209,38 +210,39 @@
 	Finish, RunnerUpFinish time.Duration
 }
 
-// Pick chooses an agent for a task of the given kind, or none if every
+// Pick chooses an agent for a task of the given kind that has waited for some
+// time, or none if every
 // feasible agent is full, ejected, leaving or in avoid.
-func (p *Pool) Pick(now time.Time, r Requirement, kind Kind, avoid []ID) Choice {
-	return p.pickFrom(now, p.Feasible(r), kind, avoid)
+func (p *Pool) Pick(now time.Time, r Requirement, kind Kind, waited time.Duration, avoid []ID) Choice {
+	return p.pickFrom(now, p.Feasible(r), kind, waited, avoid)
 }
 
 // PickAmong is Pick restricted to the given agents.
-func (p *Pool) PickAmong(now time.Time, among []*Agent, r Requirement, kind Kind, avoid []ID) Choice {
+func (p *Pool) PickAmong(now time.Time, among []*Agent, r Requirement, kind Kind, waited time.Duration, avoid []ID) Choice {
 	p.scratch = p.scratch[:0]
 	for _, a := range among {
 		if a.Service == r.Service && r.Selector.Matches(a.Labels) {
 			p.scratch = append(p.scratch, a)
 		}
 	}
-	return p.pickFrom(now, p.scratch, kind, avoid)
+	return p.pickFrom(now, p.scratch, kind, waited, avoid)
 }
 
-func (p *Pool) pickFrom(now time.Time, feasible []*Agent, kind Kind, avoid []ID) Choice {
+func (p *Pool) pickFrom(now time.Time, feasible []*Agent, kind Kind, waited time.Duration, avoid []ID) Choice {
 	switch p.params.Policy {
 	case Random:
 		return p.pickRandom(feasible, avoid)
 	case RoundRobin:
 		return p.pickRoundRobin(feasible, avoid)
 	case TwoChoices:
-		return p.pickSampled(now, feasible, kind, avoid, 2, byLoad)
+		return p.pickSampled(now, feasible, kind, waited, avoid, 2, byLoad)
 	case LeastLoaded:
-		return p.pickSampled(now, feasible, kind, avoid, len(feasible), byLoad)
+		return p.pickSampled(now, feasible, kind, waited, avoid, len(feasible), byLoad)
 	}
-	if choice := p.pickHome(now, feasible, kind, avoid); choice.Agent != nil {
+	if choice := p.pickHome(now, feasible, kind, waited, avoid); choice.Agent != nil {
 		return choice
 	}
-	choice := p.pickSampled(now, feasible, kind, avoid, p.sample(feasible), byFinish)
+	choice := p.pickSampled(now, feasible, kind, waited, avoid, p.sample(feasible), byFinish)
 	choice.NoWait = p.params.Homes && choice.Agent != nil && !choice.Agent.Home
 	return choice
 }
@@ -255,7 +257,7 @@
 
 // pickHome chooses among the agents that mainly this entry uses: of these it
 // knows the load best, since few others send to them.
-func (p *Pool) pickHome(now time.Time, feasible []*Agent, kind Kind, avoid []ID) Choice {
+func (p *Pool) pickHome(now time.Time, feasible []*Agent, kind Kind, waited time.Duration, avoid []ID) Choice {
 	if !p.params.Homes {
 		return Choice{}
 	}
@@ -265,7 +267,7 @@
 			p.homes = append(p.homes, a)
 		}
 	}
-	return p.pickSampled(now, p.homes, kind, avoid, p.sample(p.homes), byFinish)
+	return p.pickSampled(now, p.homes, kind, waited, avoid, p.sample(p.homes), byFinish)
 }
 
 type scoring int
@@ -275,7 +277,7 @@
 	byLoad
 )
 
-func (p *Pool) pickSampled(now time.Time, feasible []*Agent, kind Kind, avoid []ID, sample int, how scoring) Choice {
+func (p *Pool) pickSampled(now time.Time, feasible []*Agent, kind Kind, waited time.Duration, avoid []ID, sample int, how scoring) Choice {
 	var choice Choice
 	if len(feasible) == 0 {
 		return choice
@@ -292,7 +294,7 @@
 			at = p.rng.IntN(len(feasible))
 		}
 		a := feasible[at]
-		if !p.usable(now, a, how) || contains(avoid, a.ID) {
+		if !p.usable(now, a, waited, how) || contains(avoid, a.ID) {
 			continue
 		}
 		choice.offer(a, p.score(now, a, run, how))
@@ -301,7 +303,7 @@
 }
 
 // usable reports whether a may be given a task now.
-func (p *Pool) usable(now time.Time, a *Agent, how scoring) bool {
+func (p *Pool) usable(now time.Time, a *Agent, waited time.Duration, how scoring) bool {
 	if a.Leaving || a.Down {
 		return false
 	}
@@ -313,7 +315,7 @@
 	}
 	margin := 0.0
 	if p.params.Homes && !a.Home {
-		margin = p.params.AwayMargin
+		margin = p.params.AwayMargin * max(0, 1-float64(waited)/float64(p.MeanRunTime()))
 	}
 	return p.Load(now, a)+1+margin <= float64(a.Slots+p.params.Allowance)
 }
