--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -59,7 +59,7 @@
 // DefaultParams returns the settings used unless configured otherwise.
 func DefaultParams() Params {
 	return Params{
-		Policy: Finish, FullScan: 16, Sample: 6, Allowance: 0, Homes: true,
+		Policy: Finish, FullScan: 16, Sample: 6, Allowance: 0, Homes: true, AwayMargin: 2,
 		CrossLatency: 2 * time.Millisecond, DefaultRunTime: 200 * time.Millisecond,
 	}
 }
@@ -243,7 +243,7 @@
 		return choice
 	}
 	choice := p.pickSampled(now, feasible, kind, waited, avoid, p.sample(feasible), byFinish)
-	choice.NoWait = p.params.Homes && choice.Agent != nil && !choice.Agent.Home
+	choice.NoWait = p.params.Homes && choice.Agent != nil && !choice.Agent.Home && !p.overdue(waited)
 	return choice
 }
 
@@ -313,13 +313,17 @@
 	if a.ejected && !a.probeDue(now) {
 		return false
 	}
-	margin := 0.0
+	room := float64(a.Slots + p.params.Allowance)
 	if p.params.Homes && !a.Home {
-		margin = p.params.AwayMargin * max(0, 1-float64(waited)/float64(p.MeanRunTime()))
+		room -= p.params.AwayMargin * max(0, 1-float64(waited)/float64(p.MeanRunTime()))
 	}
-	return p.Load(now, a)+1+margin <= float64(a.Slots+p.params.Allowance)
+	return p.Load(now, a)+1 <= room
 }
 
+// overdue reports whether a task has waited for so long that its home must be
+// overloaded: it then rather queues away from home than be refused.
+func (p *Pool) overdue(waited time.Duration) bool { return waited >= p.MeanRunTime() }
+
 func (p *Pool) score(now time.Time, a *Agent, run time.Duration, how scoring) time.Duration {
 	if how == byLoad {
 		return time.Duration(p.Load(now, a) * float64(time.Second))
