Teams before classes; suspicion of slow and failing agents; power; commands

Change: fair sharing among teams first, classes within a team; an agent is ejected after 3 failures in a row or when it is 3 times slow, and gets nothing more while a quarter of its slots run far too long; an entry closes its callers' connections at its end.

--- /dev/null
+++ b/cmd/peridotpick/client.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/lab/caller"
+)
+
+// clientFlags are those of every command that talks to an entry.
+func clientFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "entry", Value: "http://127.0.0.1:7001", Sources: cli.EnvVars("PERIDOTPICK_ENTRY"), Usage: "base URL of an entry or of the balancer"},
+		&cli.StringFlag{Name: "token", Sources: cli.EnvVars("PERIDOTPICK_TOKEN"), Usage: "bearer token"},
+		&cli.StringFlag{Name: "team", Usage: "team, in development mode instead of a token"},
+		outputFlag(),
+	}, more...)
+}
+
+func newClient(cmd *cli.Command) (*caller.Client, error) {
+	base := strings.TrimSuffix(cmd.String("entry"), "/")
+	if !strings.HasPrefix(base, "http://") && !strings.HasPrefix(base, "https://") {
+		return nil, errkind.NewField(errkind.InvalidRequest, "--entry", base+": a URL such as http://127.0.0.1:7001 is required")
+	}
+	if token := cmd.String("token"); token != "" {
+		return caller.NewWithToken(base, token), nil
+	}
+	return caller.New(strings.TrimPrefix(base, "http://"), cmd.String("team")), nil
+}
+
+// oneArg returns the single argument of a command.
+func oneArg(cmd *cli.Command, name string) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", errkind.NewField(errkind.InvalidRequest, name, "exactly one argument is required")
+	}
+	return cmd.Args().First(), nil
+}
--- a/cmd/peridotpick/main.go
+++ b/cmd/peridotpick/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -11,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/lab/caller"
 )
 
 func main() {
@@ -28,11 +30,17 @@
 		Name:  "peridotpick",
 		Usage: "dispatcher for sub-second tasks",
 		Commands: []*cli.Command{
-			demoCommand(),
-			loadCommand(),
+			entryCommand(), checkCommand(), demoCommand(), jobCommand(), callCommand(),
+			workerCommand(), configCommand(), loadCommand(), platformCommand(), backendCommand(),
 		},
 	}
 }
 
 // exitCode maps an error to the exit code of its kind.
-func exitCode(err error) int { return errkind.Of(errkind.From(err).Kind).Exit }
+func exitCode(err error) int {
+	var failure *caller.Failure
+	if errors.As(err, &failure) {
+		return errkind.Of(failure.Kind()).Exit
+	}
+	return errkind.Of(errkind.From(err).Kind).Exit
+}
--- /dev/null
+++ b/cmd/peridotpick/standins.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"peridotpick.example/lab/backendserver"
+	"peridotpick.example/platform/standin"
+)
+
+// platformCommand runs the platform's stand-in, to try a deployment by hand.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name: "platform-standin", Usage: "run an in-memory stand-in of the platform, for trials only",
+		Description: "Example:\n  peridotpick platform-standin --listen 127.0.0.1:7900",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7900", Usage: "IP:port"},
+			&cli.DurationFlag{Name: "write-latency", Value: 5 * time.Millisecond, Usage: "time of a synced write"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			l, err := net.Listen("tcp", cmd.String("listen"))
+			if err != nil {
+				return err
+			}
+			t := standin.NewTable(1, standin.DefaultWriteRate, standin.DefaultReadRate)
+			t.SetFaults(standin.Faults{WriteLatency: cmd.Duration("write-latency")})
+			server := standin.NewServer(t, standin.NewObjects(), standin.NewWorkers(time.Second, nil))
+			context.AfterFunc(ctx, func() { _ = server.Close() })
+			return server.Serve(l)
+		},
+	}
+}
+
+// backendCommand runs the stand-in of a backend server.
+func backendCommand() *cli.Command {
+	return &cli.Command{
+		Name: "backend-standin", Usage: "run a stand-in of a backend server, for trials only",
+		Description: "Example:\n  peridotpick backend-standin --listen 127.0.0.1:8001",
+		Flags:       []cli.Flag{&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8001", Usage: "IP:port"}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			server, err := backendserver.New(cmd.String("listen"), cmd.String("listen"), backendserver.NewJournal())
+			if err != nil {
+				return err
+			}
+			context.AfterFunc(ctx, server.Die)
+			err = server.Serve()
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		},
+	}
+}
--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -69,9 +69,12 @@
 	// TLS is required unless Dev is set.
 	TLS *TLS `json:"tls,omitempty"`
 	// Dev serves without TLS and credentials, on loopback only.
-	Dev    bool        `json:"dev,omitempty"`
-	Log    Log         `json:"log"`
-	Limits EntryLimits `json:"limits"`
+	Dev bool `json:"dev,omitempty"`
+	// BootstrapSHA256 is the hash of a token that may put the first
+	// configuration, while there is none; optional.
+	BootstrapSHA256 string      `json:"bootstrapSha256,omitempty"`
+	Log             Log         `json:"log"`
+	Limits          EntryLimits `json:"limits"`
 }
 
 // EntryLimits bound what one entry accepts.
--- a/core/agentcore/core.go
+++ b/core/agentcore/core.go
@@ -26,6 +26,7 @@
 package agentcore
 
 import (
+	"slices"
 	"time"
 
 	"peridotpick.example/common/errkind"
@@ -111,6 +112,8 @@
 	// keptBytes is the sum of payloads of results in held.
 	keptBytes int
 	draining  bool
+	// restUntil is the end of a rest that an entry asked for; zero if none.
+	restUntil time.Time
 	// forgot is true once an unacknowledged submission was dropped.
 	forgot bool
 	// configVersion is the highest version heard of from any entry.
@@ -166,6 +169,10 @@
 		return c.flush() // superseded by a newer link of the same incarnation
 	}
 	c.configVersion = max(c.configVersion, msg.ConfigVersion)
+	if msg.RestFor > 0 {
+		c.restUntil = now.Add(msg.RestFor)
+		c.tellAll()
+	}
 	for i := range msg.Fences {
 		c.fence(now, link, owner, &msg.Fences[i])
 	}
@@ -199,13 +206,31 @@
 func (c *Core) Drain(time.Time) Output {
 	if !c.draining {
 		c.draining = true
-		for _, link := range c.current {
-			c.message(link).Leaving = true
-		}
+		c.tellAll()
 	}
 	return c.flush()
 }
 
+// tellAll gathers a message for every entry, which carries the load and
+// whether new work is refused.
+func (c *Core) tellAll() {
+	for _, link := range c.sortedLinks() {
+		c.message(link)
+	}
+}
+
+func (c *Core) sortedLinks() []LinkID {
+	list := make([]LinkID, 0, len(c.current))
+	for _, link := range c.current {
+		list = append(list, link)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// refusing reports whether new work is refused.
+func (c *Core) refusing() bool { return c.draining || !c.restUntil.IsZero() }
+
 // Idle reports whether no attempt is queued or running and no result waits to
 // be acknowledged by an entry that is still linked.
 func (c *Core) Idle() bool {
@@ -228,11 +253,15 @@
 	return c.flush()
 }
 
-// Tick expires tombstones and unacknowledged results.
+// Tick expires tombstones, unacknowledged results and rests.
 func (c *Core) Tick(now time.Time) Output {
 	for id, sub := range c.held {
 		c.expire(now, id, sub)
 	}
+	if !c.restUntil.IsZero() && now.After(c.restUntil) {
+		c.restUntil = time.Time{}
+		c.tellAll()
+	}
 	c.fillSlots(now)
 	return c.flush()
 }
@@ -270,7 +299,7 @@
 		msg.Load = load
 		msg.Load.Mine = c.mine(out.Sends[i].Link)
 		msg.ConfigVersion = c.configVersion
-		msg.Leaving = msg.Leaving || c.draining
+		msg.Leaving = c.refusing()
 	}
 	return out
 }
--- a/core/agentcore/submission.go
+++ b/core/agentcore/submission.go
@@ -67,7 +67,7 @@
 	switch {
 	case sub != nil && (batch.Epoch < sub.epoch || sub.acked && batch.Epoch == sub.epoch):
 		return errkind.Fenced, true
-	case c.draining:
+	case c.refusing():
 		return errkind.Draining, true
 	case c.keptBytes > c.settings.ResultBytes:
 		return errkind.Overloaded, true
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -187,6 +187,16 @@
 // SetConfigVersion sets the version stamped on messages to agents.
 func (c *Core) SetConfigVersion(v uint64) { c.configVersion = v }
 
+// Demand returns the slots that the open tasks of this entry need: those in
+// flight and those waiting.
+func (c *Core) Demand() float64 {
+	inFlight := 0
+	for _, a := range c.pool.Agents() {
+		inFlight += a.InFlight
+	}
+	return float64(inFlight + c.queue.Len())
+}
+
 // SetInventory replaces the list of sleeping backend servers.
 func (c *Core) SetInventory(list []Asleep) { c.inventory = list }
 
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -120,6 +120,8 @@
 	// lost is set when the link went down after the send.
 	lost  bool
 	hedge bool
+	// overdue is set when the attempt runs far longer than its kind does.
+	overdue bool
 }
 
 // waiter is a caller's request that waits for an answer.
@@ -208,9 +210,7 @@
 // dropFlights stops counting the attempts of t as ours.
 func (c *Core) dropFlights(t *task) {
 	for _, f := range t.flights {
-		if a := c.pool.Get(f.agent); a != nil {
-			a.Answered()
-		}
+		c.answered(f)
 	}
 	t.flights = nil
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -120,7 +120,7 @@
 		Index: t.index, Attempt: t.attempt, Kind: t.spec.Kind, Payload: t.spec.Payload, Sum: t.sum(), MaxRun: t.spec.MaxRun,
 	})
 	c.decidePlaced(t, choice, why)
-	c.armHedge(now, t, a.ID)
+	c.watchFlight(now, t, a.ID)
 }
 
 func (c *Core) decidePlaced(t *task, choice rank.Choice, why DecisionKind) {
@@ -145,20 +145,41 @@
 
 func (c *Core) flushStarts(time.Time) { clear(c.starts) }
 
-// armHedge watches for a straggler if a second attempt would be allowed.
-func (c *Core) armHedge(now time.Time, t *task, agent rank.ID) {
-	if c.settings.HedgeShare == 0 || t.job.claimed || !t.spec.Repeatable || len(t.flights) > 1 {
-		return
+// watchFlight arms the timers that look at an attempt which takes unusually long.
+func (c *Core) watchFlight(now time.Time, t *task, agent rank.ID) {
+	slow := float64(c.pool.SlowAfter(t.spec.kind()))
+	if c.mayHedge(t) {
+		c.hedge.earn(c.settings.HedgeShare)
 	}
-	c.hedge.earn(c.settings.HedgeShare)
-	slow := c.pool.SlowAfter(t.spec.kind())
 	if slow == 0 {
 		return
 	}
-	at := now.Add(time.Duration(c.settings.HedgeFactor * float64(slow)))
-	if at.Before(t.job.deadline) {
-		c.after(at, timer{kind: timerHedge, job: t.job, task: t, agent: agent, attempt: t.attempt})
+	watch := timer{kind: timerOverdue, job: t.job, task: t, agent: agent, attempt: t.attempt}
+	c.after(now.Add(time.Duration(overdueFactor*slow)), watch)
+	if c.mayHedge(t) {
+		watch.kind = timerHedge
+		c.after(now.Add(time.Duration(c.settings.HedgeFactor*slow)), watch)
+	}
+}
+
+// overdueFactor times the upper quantile of run times is when an attempt counts
+// against its agent.
+const overdueFactor = 2
+
+// mayHedge reports whether a second attempt of t would be allowed.
+func (c *Core) mayHedge(t *task) bool {
+	return c.settings.HedgeShare > 0 && !t.job.claimed && t.spec.Repeatable && len(t.flights) == 1
+}
+
+// markOverdue counts an attempt that runs far too long against its agent.
+func (c *Core) markOverdue(t *task, agent rank.ID, attempt uint32) {
+	f := t.flightAt(agent, attempt)
+	a := c.pool.Get(agent)
+	if f == nil || a == nil || f.overdue {
+		return
 	}
+	f.overdue = true
+	a.Overdue(1)
 }
 
 // hedgeStraggler sends a second attempt of a task that runs unusually long.
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -73,7 +73,7 @@
 
 func (c *Core) completed(now time.Time, a *rank.Agent, t *task, r *wire.Result) {
 	c.stats.Ran++
-	c.pool.Succeeded(a, t.spec.kind(), r.RunTime)
+	c.pool.Succeeded(now, a, t.spec.kind(), r.RunTime)
 	c.retry.earn(c.settings.RetryShare)
 	if t.state == taskDone {
 		return
@@ -122,14 +122,24 @@
 }
 
 func (c *Core) removeFlight(t *task, f flight) {
-	if a := c.pool.Get(f.agent); a != nil {
-		a.Answered()
-	}
+	c.answered(f)
 	t.flights = slices.DeleteFunc(t.flights, func(have flight) bool {
 		return have.agent == f.agent && have.attempt == f.attempt
 	})
 }
 
+// answered stops counting an attempt as ours at its agent.
+func (c *Core) answered(f flight) {
+	a := c.pool.Get(f.agent)
+	if a == nil {
+		return
+	}
+	a.Answered()
+	if f.overdue {
+		a.Overdue(-1)
+	}
+}
+
 func sortJobs(list []*job) {
 	slices.SortFunc(list, func(a, b *job) int { return cmp.Compare(a.submission, b.submission) })
 }
--- a/core/dispatch/timers.go
+++ b/core/dispatch/timers.go
@@ -15,6 +15,7 @@
 	timerPeer
 	timerCandidates
 	timerHedge
+	timerOverdue
 	timerLapse
 	timerReclaim
 	// timerWaiter ends the wait of a caller that attached to a submission.
@@ -71,6 +72,8 @@
 		c.widen(now, t.job)
 	case timerHedge:
 		c.hedgeStraggler(now, t.task, t.agent, t.attempt)
+	case timerOverdue:
+		c.markOverdue(t.task, t.agent, t.attempt)
 	case timerLapse:
 		c.lapsed(now, t.task, t.agent, t.attempt)
 	case timerWaiter:
--- a/core/fair/queue.go
+++ b/core/fair/queue.go
@@ -1,20 +1,22 @@
-// Package fair orders waiting tasks: by class first, and within a class by
-// weighted fair sharing among teams (start-time fair queueing).
+// Package fair orders waiting tasks by weighted fair sharing among teams
+// (start-time fair queueing), and within a team by class.
 //
-// Tasks of one team that ask for different agents wait in separate lanes, so
-// that a task whose agents are all busy does not hold up the others.
+// Teams come before classes: a team cannot take the share of another by calling
+// its work urgent. Tasks of one team that ask for different agents wait in
+// separate lanes, so that a task whose agents are all busy does not hold up the
+// others.
 package fair
 
 import "container/heap"
 
 // Item is a waiting value.
 type Item[T any] struct {
-	// Class orders items before anything else: lower values first.
+	// Class orders the items of a team: lower values first.
 	Class uint8
 	Team  string
 	// Weight is the team's share; greater than 0.
 	Weight float64
-	// Lane names what the item asks for. Items of a lane keep their order.
+	// Lane names what the item asks for. Items of a lane and class keep their order.
 	Lane  string
 	Value T
 }
@@ -30,42 +32,37 @@
 
 // Queue is a bounded queue. Not safe for concurrent use.
 type Queue[T any] struct {
-	limit   int
-	size    int
-	classes map[uint8]*class[T]
-	// levels are the keys of classes in ascending order.
-	levels []uint8
-}
-
-// class holds the teams that have items of one class.
-type class[T any] struct {
+	limit int
+	size  int
+	// byClass counts items by class.
+	byClass map[uint8]int
 	// virtual is the start tag of the item taken last.
 	virtual float64
-	size    int
 	teams   map[string]*team[T]
 	active  teamHeap[T]
 }
 
-// team is one team's items within a class.
+// team is the items of one team.
 type team[T any] struct {
 	name string
 	// tag is the virtual start time of the team's next item.
 	tag    float64
 	weight float64
 	size   int
-	lanes  []*lane[T]
-	pos    int
+	// lanes are ordered by class, and within a class by the last take.
+	lanes []*lane[T]
 }
 
-// lane is a first-in first-out list; it is removed when empty.
+// lane is a first-in first-out list of one class; it is removed when empty.
 type lane[T any] struct {
 	name  string
+	class uint8
 	items []T
 }
 
 // NewQueue returns a queue that holds at most limit items.
 func NewQueue[T any](limit int) *Queue[T] {
-	return &Queue[T]{limit: limit, classes: make(map[uint8]*class[T])}
+	return &Queue[T]{limit: limit, byClass: make(map[uint8]int), teams: make(map[string]*team[T])}
 }
 
 // Len returns the number of items.
@@ -75,11 +72,11 @@
 func (q *Queue[T]) Free() int { return q.limit - q.size }
 
 // Ahead returns the number of items of the class or a more urgent one.
-func (q *Queue[T]) Ahead(level uint8) int {
+func (q *Queue[T]) Ahead(class uint8) int {
 	n := 0
-	for at, c := range q.classes {
-		if at <= level {
-			n += c.size
+	for at, count := range q.byClass {
+		if at <= class {
+			n += count
 		}
 	}
 	return n
@@ -91,18 +88,17 @@
 		return false
 	}
 	q.size++
-	c := q.class(item.Class)
-	c.size++
-	t := c.teams[item.Team]
+	q.byClass[item.Class]++
+	t := q.teams[item.Team]
 	if t == nil {
 		t = &team[T]{name: item.Team}
-		c.teams[item.Team] = t
+		q.teams[item.Team] = t
 	}
 	t.weight = item.Weight
-	t.push(item.Lane, item.Value)
+	t.push(item)
 	if t.size == 1 {
-		t.tag = max(t.tag, c.virtual)
-		heap.Push(&c.active, t)
+		t.tag = max(t.tag, q.virtual)
+		heap.Push(&q.active, t)
 	}
 	return true
 }
@@ -111,75 +107,60 @@
 // leave the queue; others keep their place.
 func (q *Queue[T]) Scan(try func(T) Verdict) {
 	blocked := make(map[string]bool)
-	for _, level := range q.levels {
-		q.scanClass(q.classes[level], blocked, try)
-	}
-}
-
-func (q *Queue[T]) scanClass(c *class[T], blocked map[string]bool, try func(T) Verdict) {
 	var aside []*team[T]
-	for c.active.Len() > 0 {
-		t := c.active[0]
+	for q.active.Len() > 0 {
+		t := q.active[0]
 		l := t.open(blocked)
 		switch {
 		case l == nil:
-			aside = append(aside, heap.Pop(&c.active).(*team[T]))
+			aside = append(aside, heap.Pop(&q.active).(*team[T]))
 		case try(l.items[0]) == Taken:
-			q.take(c, t, l)
+			q.take(t, l)
 		default:
 			blocked[l.name] = true
 		}
 	}
 	for _, t := range aside {
-		heap.Push(&c.active, t)
+		heap.Push(&q.active, t)
 	}
 }
 
-// take removes the first item of lane l of team t, which is first in c.
-func (q *Queue[T]) take(c *class[T], t *team[T], l *lane[T]) {
+// take removes the first item of lane l of the team that is first.
+func (q *Queue[T]) take(t *team[T], l *lane[T]) {
 	q.size--
-	c.size--
-	c.virtual = max(c.virtual, t.tag)
+	q.byClass[l.class]--
+	q.virtual = max(q.virtual, t.tag)
 	t.tag += 1 / t.weight
 	t.shift(l)
 	if t.size > 0 {
-		heap.Fix(&c.active, 0)
+		heap.Fix(&q.active, 0)
 		return
 	}
-	heap.Remove(&c.active, 0)
-	if len(c.teams) > maxIdleTeams {
-		delete(c.teams, t.name)
+	heap.Remove(&q.active, 0)
+	if len(q.teams) > maxIdleTeams {
+		delete(q.teams, t.name)
 	}
 }
 
 // maxIdleTeams bounds the tags remembered for teams without items.
 const maxIdleTeams = 1024
 
-func (q *Queue[T]) class(level uint8) *class[T] {
-	if c := q.classes[level]; c != nil {
-		return c
-	}
-	c := &class[T]{teams: make(map[string]*team[T])}
-	q.classes[level] = c
-	at := 0
-	for at < len(q.levels) && q.levels[at] < level {
-		at++
-	}
-	q.levels = append(q.levels, 0)
-	copy(q.levels[at+1:], q.levels[at:])
-	q.levels[at] = level
-	return c
-}
-
-func (t *team[T]) push(name string, value T) {
+func (t *team[T]) push(item Item[T]) {
 	t.size++
-	for _, l := range t.lanes {
-		if l.name == name {
-			l.items = append(l.items, value)
+	at := 0
+	for ; at < len(t.lanes) && t.lanes[at].class <= item.Class; at++ {
+		if l := t.lanes[at]; l.class == item.Class && l.name == item.Lane {
+			l.items = append(l.items, item.Value)
 			return
 		}
 	}
-	t.lanes = append(t.lanes, &lane[T]{name: name, items: []T{value}})
+	t.insert(at, &lane[T]{name: item.Lane, class: item.Class, items: []T{item.Value}})
+}
+
+func (t *team[T]) insert(at int, l *lane[T]) {
+	t.lanes = append(t.lanes, nil)
+	copy(t.lanes[at+1:], t.lanes[at:])
+	t.lanes[at] = l
 }
 
 // open returns the first lane that is not blocked, or nil.
@@ -192,7 +173,7 @@
 	return nil
 }
 
-// shift removes the first item of l and moves l behind the team's other lanes.
+// shift removes the first item of l and moves l behind the lanes of its class.
 func (t *team[T]) shift(l *lane[T]) {
 	var zero T
 	l.items[0] = zero
@@ -204,10 +185,15 @@
 			kept = append(kept, other)
 		}
 	}
-	if len(l.items) > 0 {
-		kept = append(kept, l)
-	}
 	t.lanes = kept
+	if len(l.items) == 0 {
+		return
+	}
+	at := 0
+	for at < len(t.lanes) && t.lanes[at].class <= l.class {
+		at++
+	}
+	t.insert(at, l)
 }
 
 type teamHeap[T any] []*team[T]
@@ -221,15 +207,11 @@
 }
 func (h teamHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].pos = i
-	h[j].pos = j
 }
 
 // Push implements heap.Interface.
 func (h *teamHeap[T]) Push(x any) {
-	t := x.(*team[T])
-	t.pos = len(*h)
-	*h = append(*h, t)
+	*h = append(*h, x.(*team[T]))
 }
 
 // Pop implements heap.Interface.
--- a/core/fair/queue_test.go
+++ b/core/fair/queue_test.go
@@ -66,3 +66,13 @@
 	is.True(!q.Push(Item[string]{Team: "a", Weight: 1, Value: "2"}))
 	is.Equal(q.Free(), 0)
 }
+
+func TestUrgentOfAFloodDoesNotTakeAnotherTeamsShare(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[string](1000)
+	for range 100 {
+		q.Push(Item[string]{Class: 0, Team: "flood", Weight: 1, Value: "flood"})
+	}
+	q.Push(Item[string]{Class: 2, Team: "small", Weight: 1, Value: "small"})
+	is.Equal(drain(q, 2)["small"], 1)
+}
--- a/core/rank/agent.go
+++ b/core/rank/agent.go
@@ -18,8 +18,17 @@
 	// slowWeight and failWeight are the weights of a new observation.
 	slowWeight = 0.1
 	failWeight = 0.1
-	// minSamples is the number of results before an agent is judged.
+	// minSamples is the number of results before an agent is judged by its rates.
 	minSamples = 8
+	// ejectAfter is the number of failures in a row from which an agent is ejected.
+	ejectAfter = 3
+	// ejectSlowness is the slowness from which an agent is ejected, judged by at
+	// least slowSamples results.
+	ejectSlowness = 3.0
+	slowSamples   = 3
+	// suspectOverdue is the part of an agent's slots that may be taken by tasks
+	// which run far too long before it gets no more.
+	suspectOverdue = 0.25
 	// ejectFailRate is the failure rate from which an agent is ejected.
 	ejectFailRate = 0.5
 	// ejectShare bounds the ejected part of the pool.
@@ -45,6 +54,8 @@
 	// Down agents have no link at present.
 	Down bool
 
+	// Reported is the number of tasks in the newest report.
+	Reported int
 	// others is the load that other entries caused, as of reportedAt.
 	others     float64
 	reportedAt time.Time
@@ -57,6 +68,11 @@
 	samples  int
 	meanRun  time.Duration
 
+	// failedRow counts failures since the last success; overdue own tasks that
+	// run far longer than their kind does.
+	failedRow int
+	overdue   int
+
 	ejected    bool
 	probeAt    time.Time
 	probePause time.Duration
@@ -77,6 +93,7 @@
 // Report records a load report of a: total tasks there and the entry's own part.
 func (p *Pool) Report(now time.Time, a *Agent, total, mine int) {
 	a.others = float64(max(0, total-mine))
+	a.Reported = total
 	a.reportedAt = now
 	p.utilization += utilizationWeight * (float64(total)/float64(a.Slots) - p.utilization)
 }
--- a/core/rank/learn.go
+++ b/core/rank/learn.go
@@ -55,7 +55,7 @@
 }
 
 // Succeeded learns from a completed task.
-func (p *Pool) Succeeded(a *Agent, kind Kind, run time.Duration) {
+func (p *Pool) Succeeded(now time.Time, a *Agent, kind Kind, run time.Duration) {
 	k := p.kind(kind)
 	ratio := 1.0
 	if k.samples > 0 && k.mean > 0 {
@@ -68,11 +68,34 @@
 	p.meanRun += overallWeight * (float64(run) - p.meanRun)
 	k.failRate *= 1 - failWeight
 	a.learn(ratio, float64(run), false)
-	if a.ejected {
+	a.probing = false
+	a.failedRow = 0
+	tooSlow := a.slow >= ejectSlowness && a.samples >= slowSamples
+	switch {
+	case a.ejected && ratio < ejectSlowness:
 		p.restore(a)
+	case a.ejected:
+		p.postpone(now, a)
+	case tooSlow:
+		p.eject(now, a)
 	}
 }
 
+// Overdue records that a task sent to a runs far too long, or, with delta -1,
+// that such a task was answered or given up.
+func (a *Agent) Overdue(delta int) { a.overdue = max(0, a.overdue+delta) }
+
+// suspect reports whether too many tasks run far too long at a.
+func (a *Agent) suspect() bool {
+	return a.overdue > 0 && float64(a.overdue) >= suspectOverdue*float64(a.Slots)
+}
+
+// postpone doubles the pause before the next probe.
+func (p *Pool) postpone(now time.Time, a *Agent) {
+	a.probePause = min(2*a.probePause, probeMax)
+	a.probeAt = now.Add(a.probePause)
+}
+
 // Failed learns from a task that ran and failed. It returns true if the agent
 // is ejected by it.
 func (p *Pool) Failed(now time.Time, a *Agent, kind Kind) bool {
@@ -80,14 +103,17 @@
 	k.failRate += failWeight * (1 - k.failRate)
 	a.probing = false
 	if a.ejected {
-		a.probePause = min(2*a.probePause, probeMax)
-		a.probeAt = now.Add(a.probePause)
+		p.postpone(now, a)
 		return false
 	}
 	if k.failRate > kindFailRate && p.failsElsewhere(a) {
 		return false // the kind fails everywhere: not this agent's fault
 	}
 	a.learn(1, 0, true)
+	a.failedRow++
+	if a.failedRow < ejectAfter && a.failRate < ejectFailRate {
+		return false
+	}
 	return p.eject(now, a)
 }
 
@@ -102,7 +128,7 @@
 }
 
 func (p *Pool) eject(now time.Time, a *Agent) bool {
-	if a.failRate < ejectFailRate || float64(p.ejected+1) > ejectShare*float64(len(p.order)) {
+	if float64(p.ejected+1) > ejectShare*float64(len(p.order)) {
 		return false
 	}
 	a.ejected = true
@@ -116,6 +142,8 @@
 	a.ejected = false
 	a.probing = false
 	a.failRate = 0
+	a.failedRow = 0
+	a.slow = 1
 	a.samples = 0
 	p.ejected--
 }
@@ -149,14 +177,16 @@
 func (a *Agent) learn(ratio, run float64, failed bool) {
 	a.samples++
 	if failed {
-		a.failRate += max(failWeight, 1/float64(a.samples+1)) * (1 - a.failRate)
+		if a.samples >= minSamples {
+			a.failRate += failWeight * (1 - a.failRate)
+		}
 		return
 	}
 	a.failRate *= 1 - failWeight
 	if a.slow == 0 {
 		a.slow = 1
 	}
-	a.slow += slowWeight * (ratio - a.slow)
+	a.slow += max(slowWeight, 1/float64(a.samples+1)) * (ratio - a.slow)
 	if a.meanRun == 0 {
 		a.meanRun = time.Duration(run)
 	}
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -310,7 +310,7 @@
 	if how == byLoad {
 		return true
 	}
-	if a.ejected && !a.probeDue(now) {
+	if (a.ejected && !a.probeDue(now)) || (!a.ejected && a.suspect()) {
 		return false
 	}
 	room := float64(a.Slots + p.params.Allowance)
--- a/service/entry/api.go
+++ b/service/entry/api.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/subtle"
 	"strings"
 	"time"
 
@@ -41,11 +42,13 @@
 
 // Limits of the HTTP server that are not settings.
 const (
-	headerBytes   = 16 << 10
-	idleTimeout   = 75 * time.Second
-	writeTimeout  = 30 * time.Second
-	devIdentity   = "dev"
-	devTeamHeader = headerTeam
+	headerBytes  = 16 << 10
+	idleTimeout  = 75 * time.Second
+	writeTimeout = 30 * time.Second
+	devIdentity  = "dev"
+	// bootstrapIdentity is the author of the first configuration.
+	bootstrapIdentity = "bootstrap"
+	devTeamHeader     = headerTeam
 )
 
 // handler serves one route for an authenticated caller.
@@ -127,6 +130,9 @@
 // identify returns the caller's identity if it has one of the roles.
 func (e *Entry) identify(ctx *fasthttp.RequestCtx, roles []config.Role) (config.Identity, *errkind.Error) {
 	conf := e.watcher.Current()
+	if conf == nil && roles[0] != config.RoleCaller && e.mayBootstrap(ctx) {
+		return config.Identity{Role: config.RoleOperator, Name: bootstrapIdentity}, nil
+	}
 	if conf == nil {
 		return config.Identity{}, &errkind.Error{Kind: errkind.StoreUnavailable, Detail: "this entry has not read the configuration yet", RetryAfter: time.Second}
 	}
@@ -149,6 +155,18 @@
 	return config.Identity{}, errkind.New(errkind.Forbidden, "the role "+string(who.Role)+" does not permit this")
 }
 
+// mayBootstrap reports whether a request may put the first configuration: in
+// development mode, or with the token whose hash the settings name. It is asked
+// only while no configuration was ever read.
+func (e *Entry) mayBootstrap(ctx *fasthttp.RequestCtx) bool {
+	if e.settings.Dev {
+		return true
+	}
+	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	want := e.settings.BootstrapSHA256
+	return ok && want != "" && subtle.ConstantTimeCompare([]byte(config.HashToken(token)), []byte(want)) == 1
+}
+
 // devCaller takes the word of a caller on loopback, in development mode only.
 func devCaller(ctx *fasthttp.RequestCtx, conf *config.Compiled, roles []config.Role) (config.Identity, *errkind.Error) {
 	if roles[0] != config.RoleCaller {
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -77,7 +77,7 @@
 	refusals  refusalCounts
 	reads     chan struct{}
 	http      *fasthttp.Server
-	callers   net.Listener
+	callers   *trackedListener
 	peers     net.Listener
 	draining  atomic.Bool
 	open      atomic.Int64
@@ -121,7 +121,7 @@
 		settings: s, deps: deps, log: deps.Logs.For(logs.Entry), routeLog: deps.Logs.For(logs.Route),
 		self:   wire.EntryInfo{ID: s.ID, Incarnation: uint64(time.Now().UnixNano()), Address: address, DataCentre: s.DataCentre},
 		events: make(chan event, eventRing), pending: make(map[uint64]chan *wire.Outcome),
-		reads: make(chan struct{}, maxReads), callers: callers, peers: peers,
+		reads: make(chan struct{}, maxReads), callers: newTrackedListener(callers), peers: peers,
 	}
 	e.work, e.abort = context.WithCancel(context.Background())
 	e.core = dispatch.New(e.coreSettings(nil), e.self, rand.New(rand.NewPCG(deps.Seed, deps.Seed)))
@@ -195,7 +195,7 @@
 	}
 	group, work := errgroup.WithContext(e.work)
 	duties := []func(context.Context) error{
-		e.loop, e.claims.Run, e.watcher.Run, e.membership,
+		e.loop, e.claims.Run, e.watcher.Run, e.membership, e.power,
 		func(ctx context.Context) error {
 			return transport.Serve(ctx, e.peers, wire.EntryHandler{Server: e})
 		},
@@ -210,7 +210,7 @@
 	case <-work.Done():
 	}
 	e.abort()
-	_ = e.callers.Close()
+	e.callers.closeAll()
 	err := group.Wait()
 	e.log.Info().Str("entry", e.self.ID).Msg("entry: stopped")
 	return err
--- a/service/entry/links.go
+++ b/service/entry/links.go
@@ -277,3 +277,16 @@
 		}
 	}
 }
+
+// sendTo sends a message to an agent if there is a link.
+func (m *linkManager) sendTo(agent rank.ID, msg *wire.ToAgent) {
+	m.mu.Lock()
+	var id dispatch.LinkID
+	for _, l := range m.links {
+		if l.agent == agent {
+			id = max(id, l.id)
+		}
+	}
+	m.mu.Unlock()
+	m.send(id, msg)
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -132,6 +132,9 @@
 	Acks    []Ack         `cbor:"5,keyasint,omitempty"`
 	// ConfigVersion is the newest configuration version the entry confirmed.
 	ConfigVersion uint64 `cbor:"6,keyasint,omitempty"`
+	// RestFor asks the agent to refuse new work for a while, so that its worker
+	// can be put to sleep; the agent resumes by itself.
+	RestFor time.Duration `cbor:"9,keyasint,omitempty"`
 	// Heartbeat replaces that of the Hello, if not 0.
 	Heartbeat time.Duration `cbor:"7,keyasint,omitempty"`
 	// Entries replaces the list of live entries, if not empty.
