A stopping entry gives the balancer notice; tests of the cores

Cause: an entry that was stopped at 60% load cut 15 (Association) and 17 (Licensing) requests: it closed its listener while the balancer still sent.

Change: health fails first; requests are served for drainNotice (2 s), each answer closing its connection; then new ones are refused and the rest is answered. The load tool's balancer asks for health. Tests of both cores, each failure that the schedules found as a named test; benchmarks of the pick.

--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -96,6 +96,9 @@
 	ReadTimeout Duration `json:"readTimeout"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout Duration `json:"drainTimeout"`
+	// DrainNotice is how long a stopping entry goes on taking requests while its
+	// health check fails, so that the balancer learns of it first.
+	DrainNotice Duration `json:"drainNotice"`
 	// WriteBudget is the number of transactions a second that all entries
 	// together may commit.
 	WriteBudget float64 `json:"writeBudget"`
@@ -107,6 +110,7 @@
 		MaxBody: 8 << 20, MaxTasks: 140, MaxPayload: 1 << 20, MaxConnections: 4096, MaxWaiting: 8192,
 		DefaultDeadline: Duration(10 * time.Second), MaxDeadline: Duration(5 * time.Minute),
 		ReadTimeout: Duration(10 * time.Second), DrainTimeout: Duration(30 * time.Second),
+		DrainNotice: Duration(2 * time.Second),
 		WriteBudget: 250,
 	}
 }
@@ -228,6 +232,7 @@
 	p.positive("/limits/maxDeadline", l.MaxDeadline)
 	p.positive("/limits/readTimeout", l.ReadTimeout)
 	p.positive("/limits/drainTimeout", l.DrainTimeout)
+	p.positive("/limits/drainNotice", l.DrainNotice)
 	p.positive("/platform/timeout", s.Platform.Timeout)
 	if l.MaxTasks > l.MaxWaiting {
 		p.add("/limits/maxTasks", l.MaxTasks, fmt.Sprintf("at most /limits/maxWaiting, which is %d", l.MaxWaiting))
--- /dev/null
+++ b/core/agentcore/core_test.go
@@ -0,0 +1,196 @@
+package agentcore
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+func newCore(slots, queue int) *Core {
+	return New(Settings{
+		Info:        wire.AgentInfo{ID: "a", Incarnation: 1, Slots: slots, Queue: queue},
+		FenceMemory: time.Minute, ResultRetention: time.Hour, ResultBytes: 1000,
+	})
+}
+
+var (
+	entryA = wire.EntryInfo{ID: "A", Incarnation: 1}
+	entryB = wire.EntryInfo{ID: "B", Incarnation: 2}
+)
+
+func batch(sub string, epoch uint64, class uint8, indexes ...uint32) *wire.ToAgent {
+	b := &wire.StartBatch{Submission: sub, Epoch: epoch, Class: class, Remaining: time.Minute}
+	for _, i := range indexes {
+		b.Tasks = append(b.Tasks, wire.TaskStart{Index: i, Attempt: 1, Sum: wire.Sum(nil)})
+	}
+	return &wire.ToAgent{Starts: []*wire.StartBatch{b}}
+}
+
+func results(out Output) []*wire.Result {
+	var list []*wire.Result
+	for _, s := range out.Sends {
+		list = append(list, s.Msg.Results...)
+	}
+	return list
+}
+
+func TestDuplicateIsIgnored(t *testing.T) {
+	is := is.New(t)
+	c := newCore(2, 2)
+	c.LinkUp(start, 1, entryA)
+	is.Equal(len(c.Receive(start, 1, batch("s", 1, 0, 0)).Executes), 1)
+	is.Equal(len(c.Receive(start, 1, batch("s", 1, 0, 0)).Executes), 0)
+}
+
+func TestFenceWithdrawsQueuedAndReportsStarted(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, 2)
+	c.LinkUp(start, 1, entryA)
+	c.LinkUp(start, 2, entryB)
+	c.Receive(start, 1, batch("s", 1, 0, 0, 1))
+	out := c.Receive(start, 2, &wire.ToAgent{Fences: []wire.Fence{{Submission: "s", Epoch: 2}}})
+	var reply wire.FenceReply
+	for _, s := range out.Sends {
+		if s.Link == 2 {
+			reply = s.Msg.Fences[0]
+		}
+	}
+	is.Equal(len(reply.Tasks), 1)
+	is.Equal(reply.Tasks[0].Phase, wire.Running)
+	refused := results(c.Receive(start, 1, batch("s", 1, 0, 2)))
+	is.Equal(refused[0].Kind, errkind.Fenced)
+	is.True(refused[0].NotRun)
+	// The result goes to the new owner.
+	out = c.Finished(start, ExecID{"s", 0, 1}, Completion{})
+	is.Equal(out.Sends[0].Link, LinkID(2))
+}
+
+func TestOlderLinkOfAnIncarnationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	c := newCore(2, 2)
+	c.LinkUp(start, 1, entryA)
+	c.LinkUp(start, 2, entryA)
+	is.Equal(len(c.Receive(start, 1, batch("s", 1, 0, 0)).Executes), 0)
+}
+
+func TestTombstoneRefusesUntilForgotten(t *testing.T) {
+	is := is.New(t)
+	c := newCore(2, 2)
+	c.LinkUp(start, 1, entryA)
+	c.Receive(start, 1, batch("s", 1, 0, 0))
+	c.Finished(start, ExecID{"s", 0, 1}, Completion{Payload: []byte("result")})
+	c.Receive(start, 1, &wire.ToAgent{Acks: []wire.Ack{{Submission: "s", Epoch: 1}}})
+	_, kept := c.Held()
+	is.Equal(kept, 0)
+	is.Equal(results(c.Receive(start, 1, batch("s", 1, 0, 0)))[0].Kind, errkind.Fenced)
+	// A voided submission may come again under the next epoch.
+	is.Equal(len(c.Receive(start, 1, batch("s", 2, 0, 0)).Executes), 1)
+	c.Finished(start, ExecID{"s", 0, 1}, Completion{})
+	c.Receive(start, 1, &wire.ToAgent{Acks: []wire.Ack{{Submission: "s", Epoch: 2}}})
+	c.Tick(start.Add(2 * time.Minute))
+	held, _ := c.Held()
+	is.Equal(held, 0)
+}
+
+func TestForgottenResultMakesFencesPartial(t *testing.T) {
+	is := is.New(t)
+	c := newCore(2, 2)
+	c.LinkUp(start, 1, entryA)
+	c.Receive(start, 1, batch("s", 1, 0, 0))
+	c.Finished(start, ExecID{"s", 0, 1}, Completion{})
+	c.Tick(start.Add(2 * time.Hour))
+	out := c.Receive(start, 1, &wire.ToAgent{Fences: []wire.Fence{{Submission: "s", Epoch: 2}}})
+	is.True(out.Sends[0].Msg.Fences[0].Partial)
+}
+
+func TestUrgentWorkEvictsBatchWork(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, 1)
+	c.LinkUp(start, 1, entryA)
+	c.Receive(start, 1, batch("b", 1, 2, 0, 1)) // one runs, one waits
+	refused := results(c.Receive(start, 1, batch("u", 1, 0, 0)))
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Submission, "b")
+	is.Equal(c.Finished(start, ExecID{"b", 0, 1}, Completion{}).Executes[0].ID.Submission, "u")
+}
+
+func TestFullMemoryRefusesNewWork(t *testing.T) {
+	is := is.New(t)
+	c := newCore(2, 2)
+	c.LinkUp(start, 1, entryA)
+	c.Receive(start, 1, batch("s", 1, 0, 0))
+	c.Finished(start, ExecID{"s", 0, 1}, Completion{Payload: make([]byte, 2000)})
+	refused := results(c.Receive(start, 1, batch("t", 1, 0, 0)))
+	is.Equal(refused[0].Kind, errkind.Overloaded)
+	is.True(refused[0].NotRun)
+}
+
+func TestDrainAndRest(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, 1)
+	c.LinkUp(start, 1, entryA)
+	out := c.Receive(start, 1, &wire.ToAgent{RestFor: time.Second})
+	is.True(out.Sends[0].Msg.Leaving)
+	is.Equal(results(c.Receive(start, 1, batch("s", 1, 0, 0)))[0].Kind, errkind.Draining)
+	out = c.Tick(start.Add(2 * time.Second))
+	is.True(!out.Sends[0].Msg.Leaving) // a rest ends by itself
+	is.True(c.Drain(start).Sends[0].Msg.Leaving)
+}
+
+// TestNeverBeyondSlotsNorTwice drives the core with random messages and checks
+// what must always hold.
+func TestNeverBeyondSlotsNorTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(2, 2)
+		now := start
+		running := make(map[ExecID]bool)
+		ever := make(map[ExecID]bool)
+		handle := func(out Output) {
+			for _, e := range out.Executes {
+				if ever[e.ID] {
+					t.Fatalf("%v executed twice", e.ID)
+				}
+				for other := range running {
+					if other.Submission == e.ID.Submission && other.Index == e.ID.Index {
+						t.Fatalf("%v runs while %v does", e.ID, other)
+					}
+				}
+				ever[e.ID], running[e.ID] = true, true
+			}
+			if len(running) > 2 {
+				t.Fatalf("%d executions on 2 slots", len(running))
+			}
+		}
+		handle(c.LinkUp(now, 1, entryA))
+		handle(c.LinkUp(now, 2, entryB))
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			link := LinkID(rapid.IntRange(1, 2).Draw(t, "link"))
+			sub := rapid.SampledFrom([]string{"s", "t"}).Draw(t, "sub")
+			epoch := uint64(rapid.IntRange(1, 3).Draw(t, "epoch"))
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				msg := batch(sub, epoch, 0, uint32(rapid.IntRange(0, 2).Draw(t, "task")))
+				msg.Starts[0].Tasks[0].Attempt = uint32(rapid.IntRange(1, 3).Draw(t, "attempt"))
+				handle(c.Receive(now, link, msg))
+			case 2:
+				handle(c.Receive(now, link, &wire.ToAgent{Fences: []wire.Fence{{Submission: sub, Epoch: epoch}}}))
+			case 3:
+				for id := range running {
+					delete(running, id)
+					handle(c.Finished(now, id, Completion{}))
+					break
+				}
+			case 4:
+				handle(c.Receive(now, link, &wire.ToAgent{Cancels: []wire.Cancel{{Submission: sub, Epoch: epoch}}}))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/rank/rank_test.go
@@ -0,0 +1,177 @@
+package rank
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpick.example/common/label"
+)
+
+var start = time.Unix(1000, 0)
+
+var scan = Kind{Service: "tally", Name: "scan"}
+
+func newPool(agents int) *Pool {
+	p := NewPool(DefaultParams(), rand.New(rand.NewPCG(1, 1)))
+	for i := range agents {
+		p.Add(&Agent{ID: ID{fmt.Sprintf("agent-%03d", i), 1}, Service: "tally", Slots: 8,
+			Labels: label.Set{"rack": fmt.Sprint(i / 3), "cores": "16"}})
+	}
+	p.SetHomes("entry", []string{"entry"})
+	return p
+}
+
+func require(t testing.TB, selector string) Requirement {
+	s, err := label.Parse("selector", selector)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Requirement{Service: "tally", Selector: s}
+}
+
+func TestPicksTheLeastLoaded(t *testing.T) {
+	is := is.New(t)
+	p := newPool(3)
+	p.Report(start, p.Agents()[0], 5, 0)
+	p.Report(start, p.Agents()[2], 7, 0)
+	is.Equal(p.Pick(start, require(t, ""), scan, 0, nil).Agent, p.Agents()[1])
+	is.Equal(p.Pick(start, require(t, "rack=0"), Kind{}, 0, []ID{p.Agents()[1].ID}).Agent, p.Agents()[0])
+}
+
+func TestFullAgentsAreNotPicked(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	for range 8 {
+		p.Agents()[0].Sent()
+	}
+	is.True(p.Pick(start, require(t, ""), scan, 0, nil).Agent == nil)
+	p.Agents()[0].Answered()
+	is.True(p.Pick(start, require(t, ""), scan, 0, nil).Agent != nil)
+}
+
+func TestAwayFromHomeNeedsRoomAndIsNotToWait(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	p.SetHomes("entry", []string{"entry", "other"})
+	home, away := p.Agents()[0], p.Agents()[1]
+	for range 8 {
+		home.Sent()
+	}
+	p.Report(start, away, 6, 0)
+	is.True(p.Pick(start, require(t, ""), scan, 0, nil).Agent == nil) // 6 + 1 + margin 2 exceeds 8
+	choice := p.Pick(start, require(t, ""), scan, p.MeanRunTime(), nil)
+	is.Equal(choice.Agent, away)
+	is.True(!choice.NoWait) // overdue work rather queues
+	p.Report(start, away, 1, 0)
+	is.True(p.Pick(start, require(t, ""), scan, 0, nil).NoWait)
+}
+
+func TestFailingAgentIsEjectedAndProbedBack(t *testing.T) {
+	is := is.New(t)
+	p := newPool(11)
+	bad := p.Agents()[4]
+	for range ejectAfter - 1 {
+		is.True(!p.Failed(start, bad, scan))
+	}
+	is.True(p.Failed(start, bad, scan))
+	is.True(bad.Ejected())
+	is.True(!p.usable(start, bad, 0, byFinish))
+	later := start.Add(probeBase)
+	is.True(p.usable(later, bad, 0, byFinish))
+	bad.Probing()
+	is.True(!p.usable(later, bad, 0, byFinish)) // one probe at a time
+	p.Succeeded(later, bad, scan, 100*time.Millisecond)
+	is.True(!bad.Ejected())
+}
+
+func TestEjectionIsCapped(t *testing.T) {
+	is := is.New(t)
+	p := newPool(11)
+	ejected := 0
+	for _, a := range p.Agents() {
+		for range ejectAfter {
+			p.Failed(start, a, Kind{Name: a.ID.Agent})
+		}
+		if a.Ejected() {
+			ejected++
+		}
+	}
+	is.Equal(ejected, 3)
+}
+
+func TestSlowAgentIsEjected(t *testing.T) {
+	is := is.New(t)
+	p := newPool(11)
+	for i := range 100 {
+		p.Succeeded(start, p.Agents()[i%10], scan, 100*time.Millisecond)
+	}
+	for range slowSamples {
+		p.Succeeded(start, p.Agents()[10], scan, time.Second)
+	}
+	is.True(p.Agents()[10].Ejected())
+}
+
+func TestOverdueTasksMakeAnAgentSuspect(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	p.Agents()[0].Overdue(1)
+	is.True(p.usable(start, p.Agents()[0], 0, byFinish))
+	p.Agents()[0].Overdue(1)
+	is.True(!p.usable(start, p.Agents()[0], 0, byFinish))
+}
+
+func TestHomesAreEven(t *testing.T) {
+	is := is.New(t)
+	entries := []string{"a", "b", "c"}
+	total := 0
+	for _, self := range entries {
+		p := newPool(11)
+		p.SetHomes(self, entries)
+		n := 0
+		for _, a := range p.Agents() {
+			if a.Home {
+				n++
+			}
+		}
+		is.True(n == 3 || n == 4)
+		total += n
+	}
+	is.Equal(total, 11)
+}
+
+func TestPickDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	p := newPool(540)
+	r := require(t, "rack in (1,2,3,4,5,6,7,8,9),cores>8")
+	p.Pick(start, r, scan, 0, nil)
+	is.Equal(testing.AllocsPerRun(100, func() { p.Pick(start, r, scan, 0, nil) }), 0.0)
+}
+
+// BenchmarkPick is the cost of one decision by the number of agents.
+func BenchmarkPick(b *testing.B) {
+	for _, agents := range []int{11, 54, 166, 540} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			p := newPool(agents)
+			r := require(b, "cores>8,rack notin (7)")
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Pick(start, r, scan, 0, nil)
+			}
+		})
+	}
+}
+
+// BenchmarkPickAmong is the cost for a claimed submission of 140 tasks.
+func BenchmarkPickAmong(b *testing.B) {
+	p := newPool(540)
+	r := require(b, "cores>8,rack notin (7)")
+	among := p.Best(r, 140, 3)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.PickAmong(start, among, r, scan, 0, nil)
+	}
+}
--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -235,3 +235,12 @@
 
 // Refused reports whether err means that nothing listens at the address.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// healthWait bounds one health check.
+const healthWait = time.Second
+
+// Healthy reports whether the entry asks for callers.
+func (c *Client) Healthy() bool {
+	reply, err := c.do(request{method: fasthttp.MethodGet, path: "/healthz", wait: healthWait})
+	return err == nil && reply.Status == fasthttp.StatusOK
+}
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peridotpick.example/common/errkind"
@@ -70,6 +71,8 @@
 	options Options
 	cluster *cluster.Cluster
 	clients []*caller.Client
+	// healthy tells which entries the balancer sends to.
+	healthy []atomic.Bool
 	began   time.Time
 
 	mu      sync.Mutex
@@ -96,6 +99,10 @@
 	for _, m := range c.Entries() {
 		r.clients = append(r.clients, caller.New(m.Entry.Address(), o.Mix.Team))
 	}
+	r.healthy = make([]atomic.Bool, len(r.clients))
+	for i := range r.healthy {
+		r.healthy[i].Store(true)
+	}
 	return r
 }
 
@@ -105,6 +112,9 @@
 	watch, stop := context.WithCancel(ctx)
 	defer stop()
 	go r.watchAwake(watch)
+	for i := range r.clients {
+		go r.watchHealth(watch, i)
+	}
 	for _, f := range r.options.Faults {
 		timer := time.AfterFunc(f.At.Std(), func() { f.apply(r.cluster) })
 		defer timer.Stop()
@@ -153,7 +163,11 @@
 	var err error
 	for try := range len(clients) {
 		// The balancer sends a request elsewhere if an instance takes none.
-		raw, err = r.exchange(clients[(index+try)%len(clients)], kind, a, payloads)
+		at := (index + try) % len(clients)
+		if !r.healthy[at].Load() && try < len(clients)-1 {
+			continue
+		}
+		raw, err = r.exchange(clients[at], kind, a, payloads)
 		if !tryElsewhere(err) {
 			break
 		}
@@ -161,6 +175,20 @@
 	r.record(kind, a, raw, err, payloads, flood)
 }
 
+// healthEvery is how often the balancer asks an entry for its health.
+const healthEvery = 250 * time.Millisecond
+
+// watchHealth is the balancer's health check of one entry.
+func (r *run) watchHealth(ctx context.Context, i int) {
+	for ctx.Err() == nil {
+		r.healthy[i].Store(r.clients[i].Healthy())
+		select {
+		case <-time.After(healthEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
 func tryElsewhere(err error) bool {
 	var failure *caller.Failure
 	if errors.As(err, &failure) {
--- a/service/entry/api.go
+++ b/service/entry/api.go
@@ -110,6 +110,9 @@
 		e.open.Add(1)
 		defer e.open.Add(-1)
 		next(ctx)
+		if e.draining.Load() {
+			ctx.SetConnectionClose()
+		}
 	}
 }
 
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -227,10 +227,12 @@
 // drainPoll is how often a draining entry looks whether it is idle.
 const drainPoll = 20 * time.Millisecond
 
-// drain answers what is in flight, within the limit of the settings.
+// drain gives the balancer time to send callers elsewhere, and then answers
+// what is in flight, within the limits of the settings.
 func (e *Entry) drain(work context.Context) {
 	e.log.Info().Str("entry", e.self.ID).Msg("entry: draining")
 	e.draining.Store(true)
+	wait(work, e.settings.Limits.DrainNotice.Std())
 	e.post(func(core *dispatch.Core, _ time.Time) { core.Drain() })
 	deadline := time.Now().Add(e.settings.Limits.DrainTimeout.Std())
 	for time.Now().Before(deadline) && work.Err() == nil {
