agent: a withdrawn retry no longer makes the ended attempt forgotten; flood and wake

Cause: rapid found that an attempt that had run could run again after its retry had been queued and withdrawn; work of a flooding team that was overdue queued in front of the other team; the wake decision followed each blip of the demand.

Change: the ended attempt stays known until its retry starts. A team over its share leaves one slot at each agent free, enforced by the agent. Wake and rest follow two means of the demand.

--- a/cmd/peridotpick/main.go
+++ b/cmd/peridotpick/main.go
@@ -31,7 +31,7 @@
 		Usage: "dispatcher for sub-second tasks",
 		Commands: []*cli.Command{
 			entryCommand(), checkCommand(), demoCommand(), jobCommand(), callCommand(),
-			workerCommand(), configCommand(), loadCommand(), platformCommand(), backendCommand(),
+			workerCommand(), configCommand(), loadCommand(), capacityCommand(), platformCommand(), backendCommand(),
 		},
 	}
 }
--- a/core/agentcore/submission.go
+++ b/core/agentcore/submission.go
@@ -35,6 +35,9 @@
 	began    time.Time
 	seq      uint64
 	heapPos  int
+	// prev is the ended attempt before this one; it counts again if this one is
+	// withdrawn.
+	prev *attempt
 }
 
 // admit queues the attempts of a batch or refuses them as not run.
@@ -89,18 +92,15 @@
 		c.refuse(link, batch, task, errkind.Internal)
 		return
 	}
-	if batch.NoWait && c.running+c.queue.Len() >= c.settings.Info.Slots || !c.makeRoom(batch.Class) {
+	if batch.NoWait && c.running+c.queue.Len() >= c.settings.Info.Slots-batch.Spare || !c.makeRoom(batch.Class) {
 		c.refuse(link, batch, task, errkind.Overloaded)
 		return
 	}
-	if prev := sub.attempts[task.Index]; prev != nil {
-		c.dropResult(prev)
-	}
 	c.seq++
 	a := &attempt{
 		index: task.Index, attempt: task.Attempt, phase: wire.Queued,
 		sub: sub, id: batch.Submission, start: *task, class: batch.Class,
-		deadline: now.Add(batch.Remaining), arrived: now, seq: c.seq,
+		deadline: now.Add(batch.Remaining), arrived: now, seq: c.seq, prev: sub.attempts[task.Index],
 	}
 	sub.attempts[task.Index] = a
 	c.queue.push(a)
@@ -127,6 +127,9 @@
 	c.queue.remove(a)
 	c.count(a.sub.owner, -1)
 	delete(a.sub.attempts, a.index)
+	if a.prev != nil {
+		a.sub.attempts[a.index] = a.prev
+	}
 	if link, ok := c.current[a.sub.owner]; ok {
 		msg := c.message(link)
 		msg.Results = append(msg.Results, &wire.Result{
@@ -155,6 +158,10 @@
 		}
 		a.phase = wire.Running
 		a.began = now
+		if a.prev != nil {
+			c.dropResult(a.prev)
+			a.prev = nil
+		}
 		c.running++
 		c.out.Executes = append(c.out.Executes, Execution{
 			ID:   ExecID{Submission: a.id, Index: a.index, Attempt: a.attempt},
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -106,6 +106,8 @@
 	draining   bool
 	// shares is the number of live entries among which quotas are divided.
 	shares int
+	// asked is reused by ask.
+	asked rank.Ask
 	// entries are the names of the live entries.
 	entries []string
 	// openTasks counts the tasks of open submissions.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -138,7 +138,9 @@
 	}
 	c.jobs[j.submission] = j
 	j.deadTimer = c.after(j.deadline, timer{kind: timerDeadline, job: j})
-	c.team(j.team).open += len(r.Tasks)
+	team := c.team(j.team)
+	team.open += len(r.Tasks)
+	team.weight, team.seen = r.Weight, now
 	c.openTasks += len(r.Tasks)
 	return j
 }
@@ -152,6 +154,9 @@
 	return t
 }
 
+// maxIdleTeams bounds the teams remembered without open tasks.
+const maxIdleTeams = 256
+
 // start makes the tasks of j wait for agents.
 func (c *Core) start(now time.Time, j *job) {
 	if j.epoch == 0 {
@@ -195,7 +200,7 @@
 	team := c.team(j.team)
 	team.open -= len(j.specs)
 	c.openTasks -= len(j.specs)
-	if team.open <= 0 {
+	if team.open <= 0 && len(c.teams) > maxIdleTeams {
 		delete(c.teams, j.team)
 	}
 	for _, t := range j.tasks {
@@ -210,7 +215,7 @@
 // dropFlights stops counting the attempts of t as ours.
 func (c *Core) dropFlights(t *task) {
 	for _, f := range t.flights {
-		c.answered(f)
+		c.answered(t, f)
 	}
 	t.flights = nil
 }
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -197,6 +197,7 @@
 		t.flights = append(t.flights, flight{agent: a.ID, attempt: s.Attempt, sentAt: now})
 		t.state = taskInFlight
 		a.Sent()
+		c.team(j.team).inFlight++
 		f = &t.flights[len(t.flights)-1]
 	}
 	f.lost = false
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -76,9 +76,11 @@
 	if j.claimed && now.After(c.leaseUntil) {
 		return fair.Blocked
 	}
-	choice := c.pick(now, t, t.avoid)
+	ask := c.ask(now, t)
+	choice := c.pick(now, j, ask)
 	if choice.Agent == nil && len(t.avoid) > 0 {
-		choice = c.pick(now, t, nil)
+		ask.Avoid = nil
+		choice = c.pick(now, j, ask)
 	}
 	if choice.Agent == nil {
 		c.watchCandidates(now, j)
@@ -89,13 +91,51 @@
 	return fair.Taken
 }
 
-func (c *Core) pick(now time.Time, t *task, avoid []rank.ID) rank.Choice {
-	if t.job.claimed {
-		return c.pool.PickAmong(now, t.job.among, t.spec.requirement(), t.spec.kind(), now.Sub(t.since), avoid)
+func (c *Core) pick(now time.Time, j *job, ask *rank.Ask) rank.Choice {
+	if j.claimed {
+		return c.pool.PickAmong(now, j.among, ask)
+	}
+	return c.pool.Pick(now, ask)
+}
+
+// ask returns what t asks of the pool. It is valid until the next call.
+func (c *Core) ask(now time.Time, t *task) *rank.Ask {
+	c.asked = rank.Ask{
+		Requirement: t.spec.requirement(), Kind: t.spec.kind(), Waited: now.Sub(t.since),
+		Spare: c.spare(now, t.job), Avoid: t.avoid,
+	}
+	return &c.asked
+}
+
+// spareSlots is the number of slots at each agent that a team with more than
+// its share leaves free while other teams are active, so that these need not
+// wait for one.
+const spareSlots = 1
+
+// spare returns the slots that work of j's team must leave free at each agent.
+func (c *Core) spare(now time.Time, j *job) float64 {
+	team := c.teams[j.team]
+	if team == nil || len(c.teams) < 2 {
+		return 0
+	}
+	weights, others := 0.0, false
+	for _, t := range c.teams {
+		if now.Sub(t.seen) > teamActive {
+			continue
+		}
+		weights += t.weight
+		others = others || t != team
+	}
+	share := j.weight / max(j.weight, weights) * float64(c.slots()) / float64(c.shares)
+	if !others || float64(team.inFlight) < share {
+		return 0
 	}
-	return c.pool.Pick(now, t.spec.requirement(), t.spec.kind(), now.Sub(t.since), avoid)
+	return spareSlots
 }
 
+// teamActive is how long after its last submission a team counts as active.
+const teamActive = 10 * time.Second
+
 // send adds an attempt of t to the batch for the chosen agent.
 func (c *Core) send(now time.Time, t *task, choice rank.Choice, why DecisionKind) {
 	j := t.job
@@ -105,13 +145,14 @@
 	t.state = taskInFlight
 	t.flights = append(t.flights, flight{agent: a.ID, attempt: t.attempt, sentAt: now, hedge: why == Hedged})
 	a.Sent()
+	c.team(j.team).inFlight++
 	a.Probing()
 	j.touch(a.ID)
 	c.stats.Starts++
 	key := startKey{id, j.submission, t.spec.Class, choice.NoWait}
 	batch := c.starts[key]
 	if batch == nil {
-		batch = &wire.StartBatch{Submission: j.submission, Epoch: j.epoch, Remaining: j.deadline.Sub(now), Class: t.spec.Class, NoWait: choice.NoWait}
+		batch = &wire.StartBatch{Submission: j.submission, Epoch: j.epoch, Remaining: j.deadline.Sub(now), Class: t.spec.Class, NoWait: choice.NoWait, Spare: choice.Spare}
 		c.starts[key] = batch
 		msg := c.message(id)
 		msg.Starts = append(msg.Starts, batch)
@@ -187,7 +228,9 @@
 	if t.state != taskInFlight || len(t.flights) != 1 || t.flights[0].attempt != attempt {
 		return
 	}
-	choice := c.pool.Pick(now, t.spec.requirement(), t.spec.kind(), 0, []rank.ID{agent})
+	ask := c.ask(now, t)
+	ask.Waited, ask.Avoid = 0, []rank.ID{agent}
+	choice := c.pool.Pick(now, ask)
 	if choice.Agent == nil || !c.hedge.spend() {
 		return
 	}
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -52,8 +52,11 @@
 
 // teamState is what an entry tracks of a team.
 type teamState struct {
-	// open counts tasks admitted and not ended.
-	open int
+	// open counts tasks admitted and not ended, inFlight attempts sent and not answered.
+	open, inFlight int
+	weight         float64
+	// seen is the time of the newest submission.
+	seen time.Time
 }
 
 func (t *TaskSpec) requirement() rank.Requirement {
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -122,14 +122,17 @@
 }
 
 func (c *Core) removeFlight(t *task, f flight) {
-	c.answered(f)
+	c.answered(t, f)
 	t.flights = slices.DeleteFunc(t.flights, func(have flight) bool {
 		return have.agent == f.agent && have.attempt == f.attempt
 	})
 }
 
 // answered stops counting an attempt as ours at its agent.
-func (c *Core) answered(f flight) {
+func (c *Core) answered(t *task, f flight) {
+	if team := c.teams[t.job.team]; team != nil && team.inFlight > 0 {
+		team.inFlight--
+	}
 	a := c.pool.Get(f.agent)
 	if a == nil {
 		return
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -73,6 +73,19 @@
 // Kind names an operation of a service.
 type Kind struct{ Service, Name string }
 
+// Ask is what a task asks of the pool.
+type Ask struct {
+	Requirement
+	Kind Kind
+	// Waited is how long the task has waited.
+	Waited time.Duration
+	// Spare is the number of slots at each agent that the task must leave free,
+	// for teams that have less than their share.
+	Spare float64
+	// Avoid are agents that it must not be sent to.
+	Avoid []ID
+}
+
 // key identifies the set of agents feasible for a requirement.
 type key struct{ service, selector string }
 
@@ -206,6 +219,8 @@
 	RunnerUp *Agent
 	// NoWait is set if the agent should refuse rather than queue the task.
 	NoWait bool
+	// Spare is the number of slots that the agent should keep free of it.
+	Spare int
 	// Finish and RunnerUpFinish are the expected times to completion.
 	Finish, RunnerUpFinish time.Duration
 }
@@ -213,38 +228,47 @@
 // Pick chooses an agent for a task of the given kind that has waited for some
 // time, or none if every
 // feasible agent is full, ejected, leaving or in avoid.
-func (p *Pool) Pick(now time.Time, r Requirement, kind Kind, waited time.Duration, avoid []ID) Choice {
-	return p.pickFrom(now, p.Feasible(r), kind, waited, avoid)
+func (p *Pool) Pick(now time.Time, ask *Ask) Choice {
+	return p.pickFrom(now, p.Feasible(ask.Requirement), ask)
 }
 
 // PickAmong is Pick restricted to the given agents.
-func (p *Pool) PickAmong(now time.Time, among []*Agent, r Requirement, kind Kind, waited time.Duration, avoid []ID) Choice {
+func (p *Pool) PickAmong(now time.Time, among []*Agent, ask *Ask) Choice {
 	p.scratch = p.scratch[:0]
 	for _, a := range among {
-		if a.Service == r.Service && r.Selector.Matches(a.Labels) {
+		if a.Service == ask.Service && ask.Selector.Matches(a.Labels) {
 			p.scratch = append(p.scratch, a)
 		}
 	}
-	return p.pickFrom(now, p.scratch, kind, waited, avoid)
+	return p.pickFrom(now, p.scratch, ask)
 }
 
-func (p *Pool) pickFrom(now time.Time, feasible []*Agent, kind Kind, waited time.Duration, avoid []ID) Choice {
+func (p *Pool) pickFrom(now time.Time, feasible []*Agent, ask *Ask) Choice {
 	switch p.params.Policy {
 	case Random:
-		return p.pickRandom(feasible, avoid)
+		return p.pickRandom(feasible, ask.Avoid)
 	case RoundRobin:
-		return p.pickRoundRobin(feasible, avoid)
+		return p.pickRoundRobin(feasible, ask.Avoid)
 	case TwoChoices:
-		return p.pickSampled(now, feasible, kind, waited, avoid, 2, byLoad)
+		return p.pickSampled(now, feasible, ask, 2, byLoad)
 	case LeastLoaded:
-		return p.pickSampled(now, feasible, kind, waited, avoid, len(feasible), byLoad)
+		return p.pickSampled(now, feasible, ask, len(feasible), byLoad)
 	}
-	if choice := p.pickHome(now, feasible, kind, waited, avoid); choice.Agent != nil {
-		return choice
+	if choice := p.pickHome(now, feasible, ask); choice.Agent != nil {
+		return choice.sparing(ask)
 	}
-	choice := p.pickSampled(now, feasible, kind, waited, avoid, p.sample(feasible), byFinish)
-	choice.NoWait = p.params.Homes && choice.Agent != nil && !choice.Agent.Home && !p.overdue(waited)
-	return choice
+	choice := p.pickSampled(now, feasible, ask, p.sample(feasible), byFinish)
+	choice.NoWait = p.params.Homes && choice.Agent != nil && !choice.Agent.Home && !p.overdue(ask.Waited)
+	return choice.sparing(ask)
+}
+
+// sparing lets the agent enforce that slots are left free.
+func (c Choice) sparing(ask *Ask) Choice {
+	if ask.Spare > 0 {
+		c.NoWait = true
+		c.Spare = int(ask.Spare)
+	}
+	return c
 }
 
 // sample returns how many of a list are compared.
@@ -257,7 +281,7 @@
 
 // pickHome chooses among the agents that mainly this entry uses: of these it
 // knows the load best, since few others send to them.
-func (p *Pool) pickHome(now time.Time, feasible []*Agent, kind Kind, waited time.Duration, avoid []ID) Choice {
+func (p *Pool) pickHome(now time.Time, feasible []*Agent, ask *Ask) Choice {
 	if !p.params.Homes {
 		return Choice{}
 	}
@@ -267,7 +291,7 @@
 			p.homes = append(p.homes, a)
 		}
 	}
-	return p.pickSampled(now, p.homes, kind, waited, avoid, p.sample(p.homes), byFinish)
+	return p.pickSampled(now, p.homes, ask, p.sample(p.homes), byFinish)
 }
 
 type scoring int
@@ -277,12 +301,12 @@
 	byLoad
 )
 
-func (p *Pool) pickSampled(now time.Time, feasible []*Agent, kind Kind, waited time.Duration, avoid []ID, sample int, how scoring) Choice {
+func (p *Pool) pickSampled(now time.Time, feasible []*Agent, ask *Ask, sample int, how scoring) Choice {
 	var choice Choice
 	if len(feasible) == 0 {
 		return choice
 	}
-	run := p.RunTime(kind)
+	run := p.RunTime(ask.Kind)
 	all := sample >= len(feasible)
 	start := p.rng.IntN(len(feasible))
 	if all {
@@ -294,7 +318,7 @@
 			at = p.rng.IntN(len(feasible))
 		}
 		a := feasible[at]
-		if !p.usable(now, a, waited, how) || contains(avoid, a.ID) {
+		if !p.usable(now, a, ask, how) || contains(ask.Avoid, a.ID) {
 			continue
 		}
 		choice.offer(a, p.score(now, a, run, how))
@@ -303,7 +327,7 @@
 }
 
 // usable reports whether a may be given a task now.
-func (p *Pool) usable(now time.Time, a *Agent, waited time.Duration, how scoring) bool {
+func (p *Pool) usable(now time.Time, a *Agent, ask *Ask, how scoring) bool {
 	if a.Leaving || a.Down {
 		return false
 	}
@@ -313,9 +337,9 @@
 	if (a.ejected && !a.probeDue(now)) || (!a.ejected && a.suspect()) {
 		return false
 	}
-	room := float64(a.Slots + p.params.Allowance)
+	room := float64(a.Slots+p.params.Allowance) - ask.Spare
 	if p.params.Homes && !a.Home {
-		room -= p.params.AwayMargin * max(0, 1-float64(waited)/float64(p.MeanRunTime()))
+		room -= p.params.AwayMargin * max(0, 1-float64(ask.Waited)/float64(p.MeanRunTime()))
 	}
 	return p.Load(now, a)+1 <= room
 }
--- a/core/wake/wake.go
+++ b/core/wake/wake.go
@@ -56,11 +56,14 @@
 	Sleep []string
 }
 
-// Smoothing of the demand: it follows a rise at once and a fall slowly.
+// Smoothing of the demand: the fast mean decides how much is needed, its
+// distance from the slow one tells the trend.
 const (
-	fallWeight  = 0.05
-	trendWeight = 0.3
-	wakeWeight  = 0.3
+	fastTime   = 2 * time.Second
+	slowTime   = 10 * time.Second
+	wakeWeight = 0.3
+	// maxAhead bounds how far the trend is extended, in units of slowTime.
+	maxAhead = 2.0
 	// defaultWakeTime is assumed until a wake was seen.
 	defaultWakeTime = 10 * time.Second
 )
@@ -68,10 +71,9 @@
 // Decider is the state of the decision. Not safe for concurrent use.
 type Decider struct {
 	params Params
-	// demand is the smoothed number of slots needed; trend its change a second.
-	demand, trend float64
-	lastDemand    float64
-	lastAt        time.Time
+	// fast and slow are means of the slots needed.
+	fast, slow float64
+	lastAt     time.Time
 	// surplusSince is since when a worker more than needed is awake.
 	surplusSince time.Time
 	// wakeTime is learned; waking holds when each wake began.
@@ -115,21 +117,19 @@
 		return plan
 	}
 	plan.Sleep = rested(workers)
-	plan.Rest = d.chooseRest(now, workers, float64(ready), need)
+	plan.Rest = d.chooseRest(now, workers, float64(ready), d.keep())
 	return plan
 }
 
 // learn updates demand, trend and wake times.
 func (d *Decider) learn(now time.Time, demand float64, workers []Worker) {
-	if dt := now.Sub(d.lastAt).Seconds(); !d.lastAt.IsZero() && dt > 0 {
-		d.trend += trendWeight * ((demand-d.lastDemand)/dt - d.trend)
-	}
-	d.lastAt, d.lastDemand = now, demand
-	if demand > d.demand {
-		d.demand = demand
-	} else {
-		d.demand += fallWeight * (demand - d.demand)
+	if d.lastAt.IsZero() {
+		d.fast, d.slow = demand, demand
 	}
+	elapsed := now.Sub(d.lastAt)
+	d.lastAt = now
+	d.fast += (1 - math.Exp(-elapsed.Seconds()/fastTime.Seconds())) * (demand - d.fast)
+	d.slow += (1 - math.Exp(-elapsed.Seconds()/slowTime.Seconds())) * (demand - d.slow)
 	for _, w := range workers {
 		began, ok := d.waking[w.ID]
 		if ok && w.Linked {
@@ -142,10 +142,13 @@
 // need is the number of slots that should be awake: the demand expected when a
 // worker woken now would be ready, with headroom.
 func (d *Decider) need() float64 {
-	ahead := d.demand + math.Max(0, d.trend)*d.wakeTime.Seconds()
-	return ahead * (1 + d.params.Headroom)
+	ahead := math.Min(maxAhead, d.wakeTime.Seconds()/slowTime.Seconds())
+	return (d.fast + math.Max(0, d.fast-d.slow)*ahead) * (1 + d.params.Headroom)
 }
 
+// keep is the number of slots that should stay awake: it falls slowly.
+func (d *Decider) keep() float64 { return math.Max(d.fast, d.slow) * (1 + d.params.Headroom) }
+
 func (d *Decider) chooseWake(now time.Time, workers []Worker, missing float64) []string {
 	var chosen []string
 	for _, w := range workers {
--- a/service/entry/admin.go
+++ b/service/entry/admin.go
@@ -291,3 +291,6 @@
 
 // Configured reports whether a configuration is in force here.
 func (e *Entry) Configured() bool { return e.watcher.Current() != nil }
+
+// ConfigVersion returns the configuration version in force here; 0 if none.
+func (e *Entry) ConfigVersion() uint64 { return e.configVersion() }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -99,6 +99,8 @@
 	// NoWait asks to refuse tasks that find no free slot, since the sender knows
 	// other agents that may have one.
 	NoWait bool `cbor:"6,keyasint,omitempty"`
+	// Spare is the number of slots that tasks with NoWait must leave free.
+	Spare int `cbor:"7,keyasint,omitempty"`
 }
 
 // Cancel withdraws tasks of a submission that have not started and asks to
