--- a/core/dispatch/claims.go
+++ b/core/dispatch/claims.go
@@ -153,7 +153,9 @@
 		return
 	}
 	if r.Status == claim.Unknown {
-		return // a definite fate follows
+		// A definite fate follows, perhaps much later.
+		c.after(now.Add(c.settings.ClaimWait), timer{kind: timerUnknown, job: j, request: r.Nonce})
+		return
 	}
 	w := j.writing
 	j.writing = nil
@@ -171,6 +173,22 @@
 	}
 }
 
+// claimStillUnknown answers the callers of a claim whose fate has been unknown
+// for too long, instead of holding them until their deadline.
+func (c *Core) claimStillUnknown(j *job, nonce uint64) {
+	if j.phase == phaseClaiming && j.writing != nil && j.writing.Row.Nonce == nonce {
+		c.giveUpClaim(j)
+	}
+}
+
+// giveUpClaim answers the callers while the claim's fate is unknown. The job
+// stays until that is known, and then voids the claim.
+func (c *Core) giveUpClaim(j *job) {
+	j.gaveUp = true
+	c.answer(j, &wire.Outcome{Kind: errkind.FateUnknown, RetryAfter: time.Second,
+		Detail: "the table service did not confirm the claim; ask again with the same key"})
+}
+
 func (c *Core) applied(now time.Time, j *job, row *claim.Row) {
 	j.candidates = row.Candidates
 	j.epoch = row.Epoch
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -363,9 +363,7 @@
 func (c *Core) deadlinePassed(now time.Time, j *job) {
 	switch j.phase {
 	case phaseClaiming, phaseTaking:
-		j.gaveUp = true
-		c.answer(j, &wire.Outcome{Kind: errkind.FateUnknown,
-			Detail: "the table service did not confirm the claim; ask again with the same key", RetryAfter: time.Second})
+		c.giveUpClaim(j)
 		if j.writing == nil {
 			c.end(now, j)
 		}
--- a/core/dispatch/timers.go
+++ b/core/dispatch/timers.go
@@ -18,6 +18,8 @@
 	timerOverdue
 	timerLapse
 	timerReclaim
+	// timerUnknown gives a claim of unknown fate up.
+	timerUnknown
 	// timerWaiter ends the wait of a caller that attached to a submission.
 	timerWaiter
 )
@@ -76,6 +78,8 @@
 		c.markOverdue(t.task, t.agent, t.attempt)
 	case timerLapse:
 		c.lapsed(now, t.task, t.agent, t.attempt)
+	case timerUnknown:
+		c.claimStillUnknown(t.job, t.request)
 	case timerWaiter:
 		c.waitOver(now, t.job, t.request)
 	case timerReclaim:
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -28,8 +28,6 @@
 	MaxInFlight int
 	// MaxPending bounds the writes that wait.
 	MaxPending int
-	// OutagePending bounds the writes that wait while the service is away.
-	OutagePending int
 	// BackoffMin and BackoffMax bound the pause after a failure.
 	BackoffMin, BackoffMax time.Duration
 	// OutageAfter is the number of failures in a row that count as an outage.
@@ -39,7 +37,7 @@
 // DefaultParams returns the limits used unless configured otherwise.
 func DefaultParams() Params {
 	return Params{
-		Budget: 250, MaxGroup: 64, MaxInFlight: 4, MaxPending: 4096, OutagePending: 64,
+		Budget: 250, MaxGroup: 64, MaxInFlight: 4, MaxPending: 4096,
 		BackoffMin: 20 * time.Millisecond, BackoffMax: time.Second, OutageAfter: 2,
 	}
 }
@@ -121,13 +119,23 @@
 // Away reports whether the service does not answer at present.
 func (g *Grouper) Away() bool { return g.failures >= g.params.OutageAfter }
 
-// Add queues a write. If there is no room the write is refused as not sent.
-func (g *Grouper) Add(w claim.Write) {
-	limit := g.params.MaxPending
-	if g.Away() {
-		limit = g.params.OutagePending
+// Reachable tells what another request to the service learned of it: a failure
+// counts as an outage at once, a success ends one. The caller must go on asking
+// during an outage, since no new claim is sent that could find its end.
+func (g *Grouper) Reachable(ok bool) {
+	switch {
+	case !ok:
+		g.failures = max(g.failures, g.params.OutageAfter)
+	case g.Away():
+		g.failures = 0
+		g.blocked = time.Time{}
 	}
-	if !w.Expires.IsZero() && len(g.waiting) >= limit {
+}
+
+// Add queues a write. One that may expire is refused as not sent if there is no
+// room or the service is away: what it would be sent into is an unknown fate.
+func (g *Grouper) Add(w claim.Write) {
+	if !w.Expires.IsZero() && (g.Away() || len(g.waiting) >= g.params.MaxPending) {
 		g.notSent(w)
 		return
 	}
@@ -186,11 +194,13 @@
 	g.tokens = min(g.tokens, max(1, g.Rate()*burst.Seconds()))
 }
 
-// expire refuses unsent writes that nobody wants any more.
+// expire refuses unsent writes that nobody wants any more, and, while the
+// service is away, all that may expire.
 func (g *Grouper) expire(now time.Time) {
 	kept := g.waiting[:0]
 	for _, p := range g.waiting {
-		if !p.sent && !p.write.Expires.IsZero() && !now.Before(p.write.Expires) {
+		mayExpire := !p.sent && !p.write.Expires.IsZero()
+		if mayExpire && (g.Away() || !now.Before(p.write.Expires)) {
 			g.notSent(p.write)
 			continue
 		}
--- a/core/protocol/world_test.go
+++ b/core/protocol/world_test.go
@@ -361,6 +361,16 @@
 		proc.deliver(e.flush)
 		w.after(10*time.Millisecond, tick)
 	}
+	grouper := e.grouper
+	var poll func()
+	poll = func() {
+		if !proc.alive {
+			return
+		}
+		proc.deliver(func() { grouper.Reachable(!w.table.down) })
+		w.after(500*time.Millisecond, poll)
+	}
+	w.after(500*time.Millisecond, poll)
 	w.after(time.Millisecond, tick)
 }
 
--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -230,6 +230,11 @@
 	return c.do(request{method: method, path: path, body: body, wait: defaultWait, headers: [][2]string{{fasthttp.HeaderIfMatch, ifMatch}}})
 }
 
+// RawKeyed is Raw with an idempotency key.
+func (c *Client) RawKeyed(method, path, key string, body []byte) (*Reply, error) {
+	return c.do(request{method: method, path: path, body: body, wait: defaultWait, headers: [][2]string{{"Idempotency-Key", key}}})
+}
+
 // String returns the base address, for messages.
 func (c *Client) String() string { return fmt.Sprintf("entry at %s", c.base) }
 
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -43,6 +43,9 @@
 	RackSize    int
 	Cores       int
 	MemoryMB    int
+	// Credentials turns development mode off at the entries, so that callers need
+	// tokens; processes still talk without TLS on loopback.
+	Credentials bool
 	// Asleep is the number of workers asleep at the start, the last ones.
 	Asleep   int
 	WakeTime time.Duration
@@ -95,6 +98,10 @@
 	serial  int
 }
 
+// drainNotice is enough for the load tool's balancer, which asks for health
+// four times a second.
+const drainNotice = 600 * time.Millisecond
+
 const loopback = "127.0.0.1:0"
 
 // Start starts a deployment and puts its configuration in force.
@@ -184,10 +191,11 @@
 	s := &settings.Entry{
 		ID: fmt.Sprintf("entry-%d", c.serial), Region: c.Shape.Region,
 		DataCentre: c.Shape.DataCentres[(c.serial-1)%len(c.Shape.DataCentres)],
-		Listen:     loopback, PeerListen: loopback, PeerAddress: loopback, Dev: true,
+		Listen:     loopback, PeerListen: loopback, PeerAddress: loopback, Dev: !c.Shape.Credentials,
 		Platform: settings.Platform{Address: c.address, Timeout: settings.Duration(2 * time.Second)},
 		Limits:   settings.DefaultEntryLimits(),
 	}
+	s.Limits.DrainNotice = settings.Duration(drainNotice)
 	platform := client.New(c.address, s.Platform.Timeout.Std())
 	registry := metrics.NewRegistry()
 	e, err := entry.New(s, entry.Deps{
--- a/service/agent/announcer.go
+++ b/service/agent/announcer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -118,12 +119,13 @@
 	if len(entries) <= n {
 		return entries
 	}
-	ring := rendezvous.New(entries, xxh3.HashString)
+	rest := slices.Clone(entries)
 	picked := make([]string, 0, n)
 	for range n {
-		top := ring.Lookup(agent)
+		// A new ring each time: the library's Remove breaks its own index.
+		top := rendezvous.New(rest, xxh3.HashString).Lookup(agent)
 		picked = append(picked, top)
-		ring.Remove(top)
+		rest = slices.DeleteFunc(rest, func(name string) bool { return name == top })
 	}
 	return picked
 }
--- a/service/claimstore/store.go
+++ b/service/claimstore/store.go
@@ -132,6 +132,11 @@
 	})
 }
 
+// Reachable tells what another request to the table service learned of it.
+func (s *Store) Reachable(ok bool) {
+	s.post(func(time.Time) { s.grouper.Reachable(ok) })
+}
+
 // SetShares states among how many live entries the budget is divided.
 func (s *Store) SetShares(n int) {
 	s.post(func(time.Time) { s.grouper.SetShares(n) })
--- a/service/confwatch/watcher.go
+++ b/service/confwatch/watcher.go
@@ -30,12 +30,14 @@
 	current   atomic.Pointer[config.Compiled]
 	confirmed atomic.Int64
 	apply     func(*config.Compiled)
+	reachable func(bool)
 }
 
 // NewWatcher returns a watcher without a version. apply is called with each
-// newer version, from Run's goroutine.
-func NewWatcher(store *Store, log zerolog.Logger, apply func(*config.Compiled)) *Watcher {
-	return &Watcher{store: store, log: log, apply: apply}
+// newer version, and reachable with whether the table service answered, both
+// from Run's goroutine.
+func NewWatcher(store *Store, log zerolog.Logger, apply func(*config.Compiled), reachable func(bool)) *Watcher {
+	return &Watcher{store: store, log: log, apply: apply, reachable: reachable}
 }
 
 // Current returns the version in force here, or nil if none was ever read: a
@@ -63,6 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	version, _, err := w.store.Current(ctx)
+	w.reachable(err == nil)
 	if err != nil {
 		w.log.Warn().Err(err).Msg("config: the table service does not answer")
 		return
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -128,7 +128,7 @@
 	e.links = newLinkManager(e)
 	e.claims = claimstore.New(e.claimSettings(), deps.Table, deps.Objects, e.claimsWritten)
 	e.confs = confwatch.NewStore(deps.Table)
-	e.watcher = confwatch.NewWatcher(e.confs, deps.Logs.For(logs.Config), e.applyConfig)
+	e.watcher = confwatch.NewWatcher(e.confs, deps.Logs.For(logs.Config), e.applyConfig, e.claims.Reachable)
 	e.registry = members.New(deps.Table, s.Region, e.self)
 	e.live.Store(&[]wire.EntryInfo{e.self})
 	e.versions.Store(&map[string]uint64{})
