--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -219,7 +219,7 @@
 func (c *Core) Flush(now time.Time) Output {
 	c.runTimers(now)
 	c.place(now)
-	c.flushStarts(now)
+	clear(c.starts)
 	c.flushAcks(now)
 	out := c.out
 	c.out = Output{}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -184,8 +184,6 @@
 	return t.checksum
 }
 
-func (c *Core) flushStarts(time.Time) { clear(c.starts) }
-
 // watchFlight arms the timers that look at an attempt which takes unusually long.
 func (c *Core) watchFlight(now time.Time, t *task, agent rank.ID) {
 	slow := float64(c.pool.SlowAfter(t.spec.kind()))
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -71,7 +71,7 @@
 		c.attach(now, j, r)
 		return
 	}
-	if kind, detail, wait := c.inadmissible(now, r); kind != errkind.OK {
+	if kind, detail, wait := c.inadmissible(r); kind != errkind.OK {
 		c.decide(Decision{Kind: Refused, Submission: r.Submission, Reason: kind})
 		if r.Claimed {
 			c.lookUp(r, &wire.Outcome{Kind: kind, Detail: detail, RetryAfter: wait})
@@ -123,7 +123,7 @@
 }
 
 // inadmissible returns why r must be refused before anything is claimed or sent.
-func (c *Core) inadmissible(now time.Time, r *Request) (errkind.Kind, string, time.Duration) {
+func (c *Core) inadmissible(r *Request) (errkind.Kind, string, time.Duration) {
 	if c.draining {
 		return errkind.Draining, "this entry is shutting down", time.Second
 	}
@@ -145,7 +145,7 @@
 	if c.openTasks+len(r.Tasks) > limit {
 		return errkind.Overloaded, fmt.Sprintf("%d tasks are open, at most %d for this class", c.openTasks, limit), c.drainTime(c.openTasks)
 	}
-	if wait := c.expectedWait(now, class); wait > r.Deadline {
+	if wait := c.expectedWait(class); wait > r.Deadline {
 		return errkind.DeadlineTooShort, fmt.Sprintf("expected wait %v exceeds the deadline of %v",
 			wait.Round(time.Millisecond), r.Deadline), wait
 	}
@@ -194,7 +194,7 @@
 // drainTime estimates how long n tasks take, as a hint when to come back.
 func (c *Core) drainTime(n int) time.Duration {
 	slots := max(1, c.slots()/c.shares)
-	wait := time.Duration(float64(n) / float64(slots) * float64(c.settings.Rank.DefaultRunTime))
+	wait := time.Duration(float64(n) / float64(slots) * float64(c.pool.MeanRunTime()))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
@@ -205,7 +205,7 @@
 )
 
 // expectedWait estimates the wait of a new task of the class.
-func (c *Core) expectedWait(_ time.Time, class uint8) time.Duration {
+func (c *Core) expectedWait(class uint8) time.Duration {
 	ahead := c.queue.Ahead(class)
 	if ahead == 0 {
 		return 0
--- a/core/protocol/checker_test.go
+++ b/core/protocol/checker_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/core/agentcore"
 	"peridotpick.example/core/claim"
@@ -41,6 +43,7 @@
 	// notRunOnly is true while every answer so far proved "not run".
 	notRunOnly bool
 	closed     *claim.Row
+	history    []porcupine.Operation
 }
 
 // checker keeps the history and the invariants.
@@ -155,6 +158,7 @@
 	s.open--
 	c.world.note("answer %s %s ran=%s tasks=%d %s", r.submission, o.Kind, o.Ran(), len(o.Tasks), o.Detail)
 	s.answers = append(s.answers, o)
+	c.operation(r, s, o)
 	switch {
 	case o.Kind == errkind.OK:
 		c.completed++
@@ -230,6 +234,7 @@
 
 // finish checks progress: nothing is left open when faults have stopped.
 func (c *checker) finish() {
+	c.linearizable()
 	for _, e := range c.world.entries {
 		for _, r := range e.open {
 			if r.peer == nil {
--- a/service/confwatch/store.go
+++ b/service/confwatch/store.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,7 +26,10 @@
 
 // Keys of the configuration in the table.
 const (
-	keyCurrent    = "config/current"
+	keyCurrent = "config/current"
+	// keyHead holds only the number of the version in force: it is what all
+	// entries read all the time.
+	keyHead       = "config/head"
 	prefixHistory = "config/history/"
 )
 
@@ -48,6 +52,16 @@
 	return version, row.Version, nil
 }
 
+// Head returns the number of the version in force; 0 if none was ever put.
+func (s *Store) Head(ctx context.Context) (uint64, error) {
+	row, err := s.table.Get(ctx, keyHead)
+	if err != nil || row == nil {
+		return 0, err
+	}
+	number, err := strconv.ParseUint(string(row.Value), 10, 64)
+	return number, eris.Wrap(err, "decode head of configuration")
+}
+
 // Conflict is returned by Put if another change won.
 type Conflict struct {
 	// Winner is the version in force.
@@ -121,6 +135,7 @@
 	}
 	return s.table.Commit(ctx, []table.Op{
 		{Key: keyCurrent, Value: data, IfVersion: rowVersion},
+		{Key: keyHead, Value: strconv.AppendUint(nil, next.Number, 10), IfVersion: table.Any},
 		{Key: historyKey(next.Number), Value: data, IfVersion: 0},
 	})
 }
--- a/service/confwatch/watcher.go
+++ b/service/confwatch/watcher.go
@@ -64,12 +64,21 @@
 	asked := time.Now() // freshness counts from before the question
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	version, _, err := w.store.Current(ctx)
+	head, err := w.store.Head(ctx)
 	w.reachable(err == nil)
 	if err != nil {
 		w.log.Warn().Err(err).Msg("config: the table service does not answer")
 		return
 	}
+	if have := w.current.Load(); have != nil && head == have.Version {
+		w.confirmed.Store(asked.UnixNano())
+		return
+	}
+	version, _, err := w.store.Current(ctx)
+	if err != nil {
+		w.log.Warn().Err(err).Msg("config: the new version could not be read")
+		return
+	}
 	w.offer(version, asked)
 }
 
--- a/service/entry/api.go
+++ b/service/entry/api.go
@@ -162,6 +162,10 @@
 // development mode, or with the token whose hash the settings name. It is asked
 // only while no configuration was ever read.
 func (e *Entry) mayBootstrap(ctx *fasthttp.RequestCtx) bool {
+	path := string(ctx.Path())
+	if path != routeConfig && path != routeCheck {
+		return false
+	}
 	if e.settings.Dev {
 		return true
 	}
--- a/service/entry/power.go
+++ b/service/entry/power.go
@@ -21,8 +21,12 @@
 // Times of power control.
 const (
 	powerEvery = 500 * time.Millisecond
-	// inventoryEvery is the pause between reads of the list of workers.
-	inventoryEvery = 2 * time.Second
+	// inventoryEvery is the shortest pause between reads of the list of workers;
+	// a long list is read less often, so that the reads stay within a budget of
+	// inventoryBudget bytes a second at workerBytes for each worker.
+	inventoryEvery  = 2 * time.Second
+	inventoryBudget = 1024
+	workerBytes     = 250
 	// inventoryFresh is how old the list may be for a worker to be put to sleep.
 	inventoryFresh = 6 * time.Second
 	// restFor is how long an agent rests; it covers the time to drain and sleep.
@@ -62,7 +66,7 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(p.askedAt) >= inventoryEvery {
+	if now.Sub(p.askedAt) >= p.inventoryPause() {
 		p.askedAt = now
 		p.readInventory(ctx, now)
 	}
@@ -80,6 +84,11 @@
 	p.perform(ctx, plan)
 }
 
+func (p *powerControl) inventoryPause() time.Duration {
+	needed := time.Duration(len(p.workers)*workerBytes) * time.Second / inventoryBudget
+	return max(inventoryEvery, needed)
+}
+
 func (p *powerControl) readInventory(ctx context.Context, now time.Time) {
 	limited, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
--- a/service/members/members.go
+++ b/service/members/members.go
@@ -29,7 +29,7 @@
 	// RenewEvery is the pause between renewals of a row.
 	RenewEvery = 3 * time.Second
 	// LookEvery is the pause between looks at the other rows.
-	LookEvery = 2 * time.Second
+	LookEvery = 3 * time.Second
 	// DeadAfter is how long a row may stay unchanged.
 	DeadAfter = 12 * time.Second
 )
