Agents choose among all entries before they ask for links; benchmarks; shared set-up

Cause: 300 agents that knew two entries from their settings were all linked to these two (300 links each, 100 meant); both binaries set up logs and keys alike.

--- a/cmd/peridotpick/entry.go
+++ b/cmd/peridotpick/entry.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"os"
 
-	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
-	"peridotpick.example/common/logs"
 	"peridotpick.example/common/settings"
 	"peridotpick.example/platform/client"
 	"peridotpick.example/service/entry"
-	"peridotpick.example/service/transport"
+	"peridotpick.example/service/process"
 )
 
 func entryCommand() *cli.Command {
@@ -32,21 +29,14 @@
 	if err != nil {
 		return err
 	}
-	level, err := zerolog.ParseLevel(s.Log.Level)
+	sink, transport, err := process.Setup(s.Log.Level, s.TLS)
 	if err != nil {
 		return err
 	}
-	sink := logs.New(os.Stderr, level)
 	defer func() { _ = sink.Close() }()
-	var keys *transport.Keys
-	if s.TLS != nil {
-		if keys, err = transport.LoadKeys(*s.TLS); err != nil {
-			return err
-		}
-	}
 	platform := client.New(s.Platform.Address, s.Platform.Timeout.Std())
 	e, err := entry.New(s, entry.Deps{
-		Logs: sink, Table: platform, Objects: platform.Objects(), Workers: platform.Workers(), Transport: transport.New(keys),
+		Logs: sink, Table: platform, Objects: platform.Objects(), Workers: platform.Workers(), Transport: transport,
 	})
 	if err != nil {
 		return err
--- a/cmd/peridotpick/load.go
+++ b/cmd/peridotpick/load.go
@@ -37,6 +37,7 @@
 			&cli.FloatFlag{Name: "flood", Usage: "load of a second, flooding team, as a part of capacity"},
 			&cli.FloatFlag{Name: "weight", Value: -1, Usage: "response weight 0 to 1 in place of the deployment's"},
 			&cli.FloatFlag{Name: "away-margin", Value: -1, Usage: "free slots required beyond one at agents whose home is another entry"},
+			&cli.FloatFlag{Name: "spare", Value: -1, Usage: "slots at each agent that a team over its share leaves free"},
 			&cli.IntFlag{Name: "entries", Usage: "number of entries in place of the deployment's"},
 			&cli.IntFlag{Name: "asleep", Usage: "workers asleep at the start"},
 			&cli.FloatFlag{Name: "misdeclared", Value: 1, Usage: "factor by which the assumed run time is wrong"},
@@ -106,6 +107,9 @@
 		if m := cmd.Float("away-margin"); m >= 0 {
 			s.Rank.AwayMargin = m
 		}
+		if n := cmd.Float("spare"); n >= 0 {
+			s.SpareSlots = n
+		}
 		s.Rank.DefaultRunTime = time.Duration(float64(s.Rank.DefaultRunTime) * factor)
 	}
 	return o, planLoad(cmd, &o)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -107,11 +107,6 @@
 	return &c.asked
 }
 
-// spareSlots is the number of slots at each agent that a team with more than
-// its share leaves free while other teams are active, so that these need not
-// wait for one.
-const spareSlots = 1
-
 // spare returns the slots that work of j's team must leave free at each agent.
 func (c *Core) spare(now time.Time, j *job) float64 {
 	team := c.teams[j.team]
@@ -130,7 +125,7 @@
 	if !others || float64(team.inFlight) < share {
 		return 0
 	}
-	return spareSlots
+	return c.settings.SpareSlots
 }
 
 // teamActive is how long after its last submission a team counts as active.
--- a/core/dispatch/settings.go
+++ b/core/dispatch/settings.go
@@ -24,6 +24,10 @@
 	// HedgeFactor times the learned upper quantile of run times is when a
 	// running task counts as a straggler.
 	HedgeFactor float64
+	// SpareSlots is the number of slots at each agent that a team with more than
+	// its share leaves free while other teams are active, so that these need not
+	// wait for one.
+	SpareSlots float64
 	// ClaimWait bounds the time a claim waits to be sent to the table service.
 	ClaimWait time.Duration
 	// PeerRetry is the pause before another entry is asked again.
@@ -60,6 +64,7 @@
 		HedgeBurst:    16,
 		HedgeShare:    0.02,
 		HedgeFactor:   2,
+		SpareSlots:    1,
 		ClaimWait:     time.Second,
 		PeerRetry:     200 * time.Millisecond,
 		CandidateWait: 300 * time.Millisecond,
--- /dev/null
+++ b/core/group/bench_test.go
@@ -0,0 +1,98 @@
+package group
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"peridotpick.example/core/claim"
+)
+
+// BenchmarkClaimDelay is the time from a claim's arrival to the answer of its
+// write, in virtual time, with a synced write of 5 ms and a budget of 250
+// transactions a second shared by the writers. Each job costs two writes, its
+// claim and its outcome.
+func BenchmarkClaimDelay(b *testing.B) {
+	cases := []struct {
+		name    string
+		writers int
+		jobs    float64 // a second, over all writers
+	}{
+		{"today-3-entries-15-jobs", 3, 15},
+		{"peak-65-entries-714-jobs", 65, 714},
+		{"peak-16-writers-714-jobs", 16, 714},
+		{"peak-5-writers-714-jobs", 5, 714},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			var delays []time.Duration
+			var transactions float64
+			for b.Loop() {
+				delays, transactions = claimDelays(c.writers, c.jobs/float64(c.writers))
+			}
+			slices.Sort(delays)
+			ms := func(q float64) float64 {
+				return float64(delays[int(q*float64(len(delays)-1))]) / float64(time.Millisecond)
+			}
+			b.ReportMetric(ms(0.5), "p50-ms")
+			b.ReportMetric(ms(0.99), "p99-ms")
+			b.ReportMetric(transactions*float64(c.writers), "writes/s")
+		})
+	}
+}
+
+const (
+	delayRun   = 20 * time.Second
+	delayStep  = 100 * time.Microsecond
+	writeTime  = 5 * time.Millisecond
+	outcomeGap = 300 * time.Millisecond
+)
+
+// claimDelays runs one writer with Poisson arrivals of claims, each followed by
+// an outcome, and returns the delays of all writes and its transactions a second.
+func claimDelays(writers int, jobs float64) ([]time.Duration, float64) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	g := New(DefaultParams())
+	g.SetShares(writers)
+	arrived := make(map[uint64]time.Time)
+	var due []time.Time
+	next := time.Duration(rng.ExpFloat64() / jobs * float64(time.Second))
+	nonce := uint64(0)
+	add := func(now time.Time) {
+		nonce++
+		arrived[nonce] = now
+		g.Add(claim.Write{Row: &claim.Row{Submission: strconv.FormatUint(nonce, 10), Nonce: nonce}})
+	}
+	type flight struct {
+		id   uint64
+		ends time.Time
+	}
+	var flights []flight
+	var delays []time.Duration
+	for at := time.Duration(0); at < delayRun; at += delayStep {
+		now := start.Add(at)
+		for next <= at {
+			add(now)
+			due = append(due, now.Add(outcomeGap))
+			next += time.Duration(rng.ExpFloat64() / jobs * float64(time.Second))
+		}
+		for len(due) > 0 && !due[0].After(now) {
+			add(now)
+			due = due[1:]
+		}
+		for len(flights) > 0 && !flights[0].ends.After(now) {
+			g.Done(now, flights[0].id, Applied, 1, nil)
+			flights = flights[1:]
+		}
+		for _, r := range g.Results() {
+			delays = append(delays, now.Sub(arrived[r.Nonce]))
+			delete(arrived, r.Nonce)
+		}
+		for group, _ := g.Next(now); group != nil; group, _ = g.Next(now) {
+			flights = append(flights, flight{group.ID, now.Add(writeTime)})
+		}
+	}
+	return delays, float64(g.Stats().Transactions) / delayRun.Seconds()
+}
--- a/lab/cluster/api_test.go
+++ b/lab/cluster/api_test.go
@@ -118,51 +118,72 @@
 	is.NoErr(err)
 }
 
-// TestRacingOperators: each change is built on the version it names, none is
-// lost and none reverts.
-func TestRacingOperators(t *testing.T) {
-	is := is.New(t)
-	c := startCluster(t, func(s *Shape) { s.Agents = 1 })
-	faults := c.TableFaults()
-	faults.LoseAnswers = 0.2
-	c.Table.SetFaults(faults)
+// race lets 4 operators put n changes in all, each built on the version it
+// names, and returns the accepted versions in the order of acceptance. accepted
+// is called with each; may be nil.
+func race(c *Cluster, n int, accepted func(version uint64)) []uint64 {
 	var mu sync.Mutex
-	accepted := make(map[uint64]bool)
+	var versions []uint64
 	var all sync.WaitGroup
-	for operator := range 4 {
+	const operators = 4
+	for operator := range operators {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			for n := 0; n < 5; {
-				base, ok := currentVersion(c, operator%3)
+			for done := 0; done < n/operators; {
+				version, ok := putOnce(c, operator, done)
 				if !ok {
-					continue
-				}
-				document := c.Shape.Document
-				document.Teams = append([]config.Team{{Name: fmt.Sprintf("team-%d-%d", operator, n)}}, document.Teams...)
-				body, _ := json.Marshal(document)
-				reply, err := c.caller(operator%3).Raw(http.MethodPut, "/v1/admin/config", fmt.Sprint(base), body)
-				if err != nil {
 					continue // lost the race, or the answer: look again
 				}
-				var v config.Version
-				if json.Unmarshal(reply.Body, &v) != nil {
-					t.Error("bad answer")
-				}
+				done++
 				mu.Lock()
-				if accepted[v.Number] {
-					t.Errorf("version %d was accepted twice", v.Number)
-				}
-				accepted[v.Number] = true
+				versions = append(versions, version)
 				mu.Unlock()
-				n++
+				if accepted != nil {
+					accepted(version)
+				}
 			}
 		}()
 	}
 	all.Wait()
+	return versions
+}
+
+// putOnce replaces the version in force by one with a team more.
+func putOnce(c *Cluster, operator, n int) (uint64, bool) {
+	base, ok := currentVersion(c, operator%3)
+	if !ok {
+		return 0, false
+	}
+	document := c.Shape.Document
+	document.Teams = append([]config.Team{{Name: fmt.Sprintf("team-%d-%d", operator, n)}}, document.Teams...)
+	body, err := json.Marshal(document)
+	if err != nil {
+		return 0, false
+	}
+	reply, err := c.caller(operator%3).Raw(http.MethodPut, "/v1/admin/config", fmt.Sprint(base), body)
+	if err != nil {
+		return 0, false
+	}
+	var v config.Version
+	return v.Number, json.Unmarshal(reply.Body, &v) == nil
+}
+
+// TestRacingOperators: each change is built on the version it names, none is
+// lost and none reverts.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, func(s *Shape) { s.Agents = 1 })
+	faults := c.TableFaults()
+	faults.LoseAnswers = 0.2
+	c.Table.SetFaults(faults)
+	versions := race(c, 20, nil)
 	c.Table.SetFaults(c.TableFaults())
-	is.Equal(len(accepted), 20)
-	for number := range accepted {
+	is.Equal(len(versions), 20)
+	seen := make(map[uint64]bool)
+	for _, number := range versions {
+		is.True(!seen[number]) // no version is accepted twice
+		seen[number] = true
 		_, err := c.caller(0).Raw(http.MethodGet, fmt.Sprintf("/v1/admin/config/history/%d", number), "", nil)
 		is.NoErr(err) // an accepted change is never lost
 	}
--- a/lab/cluster/bench_test.go
+++ b/lab/cluster/bench_test.go
@@ -137,3 +137,99 @@
 	}
 	report(b, took)
 }
+
+// BenchmarkConfiguration lets 4 operators race under lost answers of the table
+// service, with an entry replaced in the middle, and reports the time from the
+// acceptance of a change until it is in force on every live entry.
+func BenchmarkConfiguration(b *testing.B) {
+	c := startBench(b, func(s *Shape) { s.Entries = 4 })
+	faults := c.TableFaults()
+	faults.LoseAnswers, faults.DropRequests = 0.1, 0.1
+	c.Table.SetFaults(faults)
+	var mu sync.Mutex
+	var took []time.Duration
+	var all sync.WaitGroup
+	time.AfterFunc(3*time.Second, func() {
+		c.Entries()[3].Kill()
+		_, _ = c.AddEntry()
+	})
+	race(c, b.N/4*4, func(version uint64) {
+		at := time.Now()
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for !inForce(c, version) {
+				time.Sleep(5 * time.Millisecond)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			took = append(took, time.Since(at))
+		}()
+	})
+	all.Wait()
+	if len(took) == 0 {
+		return // the first, single iteration of the benchmark
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(len(took)), "changes")
+	b.ReportMetric(took[len(took)-1].Seconds(), "slowest-s")
+	b.ReportMetric(took[len(took)/2].Seconds(), "p50-s")
+}
+
+// inForce reports whether all running entries have at least the version. One
+// that has just started and has none yet serves nothing, and counts as well.
+func inForce(c *Cluster, version uint64) bool {
+	for _, m := range c.Entries() {
+		if v := m.Entry.ConfigVersion(); m.Running() && v != 0 && v < version {
+			return false
+		}
+	}
+	return true
+}
+
+// BenchmarkMembership measures how long entries take to learn that an agent
+// joined, leaves, or died.
+func BenchmarkMembership(b *testing.B) {
+	c := startBench(b, func(s *Shape) {
+		s.Asleep = 1
+		s.WakeTime = time.Hour
+		s.Document.Policy.MinAwake = 0
+		s.Document.Policy.Headroom = 0
+	})
+	worker := c.machines()[len(c.machines())-1].ID
+	n := len(c.Nodes())
+	until := func(want int) time.Duration {
+		began := time.Now()
+		for {
+			ok := true
+			for _, m := range c.Entries() {
+				ok = ok && m.Entry.Usable() == want
+			}
+			if ok {
+				return time.Since(began)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	slowest := make(map[string]time.Duration)
+	note := func(what string, took time.Duration) { slowest[what] = max(slowest[what], took) }
+	for range b.N {
+		if err := c.StartNode(worker); err != nil {
+			b.Fatal(err)
+		}
+		note("join-s", until(n+1))
+		go c.StopNode(worker)
+		note("leave-s", until(n))
+		time.Sleep(time.Second)
+		if err := c.StartNode(worker); err != nil {
+			b.Fatal(err)
+		}
+		until(n + 1)
+		go c.KillNode(worker)
+		note("death-s", until(n))
+		time.Sleep(time.Second)
+	}
+	for what, took := range slowest {
+		b.ReportMetric(took.Seconds(), what)
+	}
+}
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -75,6 +75,16 @@
 	done    chan struct{}
 }
 
+// Running reports whether the entry has not ended.
+func (m *Member) Running() bool {
+	select {
+	case <-m.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // Stop drains the entry and waits for its end.
 func (m *Member) Stop() { m.stop(); <-m.done }
 
@@ -335,10 +345,8 @@
 func (c *Cluster) ready() bool {
 	want := len(c.Nodes())
 	for _, m := range c.Entries() {
-		select {
-		case <-m.done:
+		if !m.Running() {
 			continue
-		default:
 		}
 		if m.Entry.Linked() < min(want, want*settings.DefaultAgent().Fanout/max(1, c.running())) || !m.Entry.Configured() {
 			return false
@@ -350,9 +358,7 @@
 func (c *Cluster) running() int {
 	n := 0
 	for _, m := range c.Entries() {
-		select {
-		case <-m.done:
-		default:
+		if m.Running() {
 			n++
 		}
 	}
--- a/service/agent/announcer.go
+++ b/service/agent/announcer.go
@@ -130,8 +130,16 @@
 	return picked
 }
 
+// informed reports whether the live entries are known.
+func (n *announcer) informed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.entries) > 0
+}
+
 func (n *announcer) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		knew := n.informed()
 		addresses, askTable := n.missing()
 		var round sync.WaitGroup
 		for _, address := range addresses {
@@ -149,6 +157,9 @@
 		if len(addresses) > 0 {
 			pause = announceEvery
 		}
+		if !knew && n.informed() {
+			pause = 0
+		}
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -165,7 +176,8 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	reply, err := wire.Announce(ctx, conn, &wire.AnnounceRequest{Agent: n.agent.info})
+	// Which entries to link to is chosen among all; the first question is who they are.
+	reply, err := wire.Announce(ctx, conn, &wire.AnnounceRequest{Agent: n.agent.info, OnlyEntries: !n.informed()})
 	if err != nil {
 		return
 	}
--- a/service/entry/admin.go
+++ b/service/entry/admin.go
@@ -294,3 +294,23 @@
 
 // ConfigVersion returns the configuration version in force here; 0 if none.
 func (e *Entry) ConfigVersion() uint64 { return e.configVersion() }
+
+// Usable returns the number of agents that are up and take new work.
+func (e *Entry) Usable() int {
+	count := make(chan int, 1)
+	e.post(func(core *dispatch.Core, _ time.Time) {
+		n := 0
+		for _, a := range core.Pool().Agents() {
+			if !a.Down && !a.Leaving {
+				n++
+			}
+		}
+		count <- n
+	})
+	select {
+	case n := <-count:
+		return n
+	case <-e.work.Done():
+		return 0
+	}
+}
--- a/service/entry/peers.go
+++ b/service/entry/peers.go
@@ -10,7 +10,7 @@
 
 // Announce implements wire.EntryServer.
 func (e *Entry) Announce(_ context.Context, req *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
-	if !e.draining.Load() {
+	if !req.OnlyEntries && !e.draining.Load() {
 		id := rank.ID{Agent: req.Agent.ID, Incarnation: req.Agent.Incarnation}
 		e.links.connect(id, req.Agent.Address)
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -43,6 +43,8 @@
 // AnnounceRequest asks an entry to open a link to the agent.
 type AnnounceRequest struct {
 	Agent AgentInfo `cbor:"1,keyasint"`
+	// OnlyEntries asks for the live entries and no link.
+	OnlyEntries bool `cbor:"2,keyasint,omitempty"`
 }
 
 // EntryInfo names a live entry.
