An agent that missed a change of the live entries is told when its link opens

A link that was being opened while the list of entries changed was greeted with the old list and was not open yet for the broadcast of the new one, so its agent went on with one entry.

Change: after a link is registered the list it was greeted with is compared with the one in force.

--- a/service/entry/links.go
+++ b/service/entry/links.go
@@ -191,7 +191,8 @@
 	if err != nil {
 		return err
 	}
-	first, err := m.greet(stream, stop, id)
+	told := *m.entry.live.Load()
+	first, err := m.greet(stream, stop, id, told)
 	if err != nil {
 		return err
 	}
@@ -202,7 +203,7 @@
 	}
 	l.received.Store(time.Now().UnixNano())
 	l.sent.Store(time.Now().UnixNano())
-	m.open(l, first)
+	m.open(l, first, told)
 	go m.write(linkCtx, stream, l, stop)
 	err = m.read(stream, l)
 	l.close()
@@ -211,12 +212,12 @@
 }
 
 // greet exchanges the first messages and checks that the right agent answers.
-func (m *linkManager) greet(stream wire.EntryStream, stop func(), id rank.ID) (*wire.ToEntry, error) {
+func (m *linkManager) greet(stream wire.EntryStream, stop func(), id rank.ID, live []wire.EntryInfo) (*wire.ToEntry, error) {
 	timer := time.AfterFunc(helloTimeout, stop)
 	defer timer.Stop()
 	hello := &wire.Hello{
 		Entry: m.entry.self, Agent: id.Agent, Incarnation: id.Incarnation,
-		Heartbeat: m.heartbeat(), Entries: *m.entry.live.Load(),
+		Heartbeat: m.heartbeat(), Entries: live,
 	}
 	if err := stream.Send(&wire.ToAgent{Hello: hello}); err != nil {
 		return nil, err
@@ -231,10 +232,15 @@
 	return first, nil
 }
 
-func (m *linkManager) open(l *agentLink, first *wire.ToEntry) {
+// open registers a link. An agent that was told of other entries than are alive
+// now has missed the broadcast of the change.
+func (m *linkManager) open(l *agentLink, first *wire.ToEntry, told []wire.EntryInfo) {
 	m.mu.Lock()
 	m.links[l.id] = l
 	m.mu.Unlock()
+	if live := *m.entry.live.Load(); !sameEntries(told, live) {
+		m.send(l.id, &wire.ToAgent{Entries: live})
+	}
 	m.entry.post(func(core *dispatch.Core, now time.Time) {
 		core.LinkUp(now, l.id, first.Info)
 		core.Receive(now, l.id, first)
