--- a/core/dispatch/weight.go
+++ b/core/dispatch/weight.go
@@ -8,6 +8,8 @@
 	maxHedgeFactor = 4.0
 	minAwayMargin  = 1.5
 	maxAwayMargin  = 3.0
+	// refuseWeight is the weight from which a shorter wait is worth a refusal.
+	refuseWeight = 0.5
 )
 
 // Weigh sets what trades response time against wasted messages: weight 0 means
@@ -15,5 +17,6 @@
 func (s *Settings) Weigh(weight float64) {
 	s.HedgeShare = maxHedgeShare * weight
 	s.Rank.AwayMargin = maxAwayMargin - (maxAwayMargin-minAwayMargin)*weight
+	s.Rank.AwayRefuse = weight >= refuseWeight
 	s.HedgeFactor = maxHedgeFactor - (maxHedgeFactor-minHedgeFactor)*weight
 }
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -48,6 +48,9 @@
 	// an agent whose home is another entry. It shrinks to none while the task
 	// waits for the mean run time.
 	AwayMargin float64
+	// AwayRefuse asks agents away from home to refuse a task rather than queue
+	// it: a shorter wait for two more messages.
+	AwayRefuse bool
 	// LocalDataCentre is that of the entry.
 	LocalDataCentre string
 	// CrossLatency is the round trip to another data centre.
@@ -59,7 +62,7 @@
 // DefaultParams returns the settings used unless configured otherwise.
 func DefaultParams() Params {
 	return Params{
-		Policy: Finish, FullScan: 16, Sample: 6, Allowance: 0, Homes: true, AwayMargin: 2,
+		Policy: Finish, FullScan: 16, Sample: 6, Allowance: 0, Homes: true, AwayMargin: 2, AwayRefuse: true,
 		CrossLatency: 2 * time.Millisecond, DefaultRunTime: 200 * time.Millisecond,
 	}
 }
@@ -258,7 +261,7 @@
 		return choice.sparing(ask)
 	}
 	choice := p.pickSampled(now, feasible, ask, p.sample(feasible), byFinish)
-	choice.NoWait = p.params.Homes && choice.Agent != nil && !choice.Agent.Home && !p.overdue(ask.Waited)
+	choice.NoWait = p.params.Homes && p.params.AwayRefuse && choice.Agent != nil && !choice.Agent.Home && !p.overdue(ask.Waited)
 	return choice.sparing(ask)
 }
 
