agent: lists of live entries from all links count together

The answer to an announcement, or the list of an entry that had not seen a new entry yet, replaced a newer list; with all chosen entries linked nothing corrected it.

Change: the newest list of each linked entry is kept and their union counts; answers to announcements count only while there is no link. Memory benchmarks.

--- /dev/null
+++ b/core/agentcore/bench_test.go
@@ -0,0 +1,39 @@
+package agentcore
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"peridotpick.example/wire"
+)
+
+// BenchmarkTombstoneMemory is the memory of one acknowledged submission that an
+// agent still remembers, and of one whose result of 200 bytes it keeps.
+func BenchmarkTombstoneMemory(b *testing.B) {
+	const submissions = 20000
+	for b.Loop() {
+		c := newCore(submissions, submissions)
+		c.settings.ResultBytes = 1 << 30
+		c.LinkUp(start, 1, entryA)
+		before := heapBytes()
+		for i := range submissions {
+			id := fmt.Sprintf("c/team/key-%d", i)
+			c.Receive(start, 1, batch(id, 1, 0, 0))
+			c.Finished(start, ExecID{id, 0, 1}, Completion{Payload: make([]byte, 200)})
+		}
+		b.ReportMetric(float64(heapBytes()-before)/submissions, "B/kept-result")
+		for i := range submissions {
+			c.Receive(start, 1, &wire.ToAgent{Acks: []wire.Ack{{Submission: fmt.Sprintf("c/team/key-%d", i), Epoch: 1}}})
+		}
+		b.ReportMetric(float64(heapBytes()-before)/submissions, "B/tombstone")
+		runtime.KeepAlive(c)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/service/agent/announcer.go
+++ b/service/agent/announcer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -34,15 +33,19 @@
 type announcer struct {
 	agent *Agent
 
-	mu      sync.Mutex
-	entries map[string]wire.EntryInfo
+	mu sync.Mutex
+	// told is the newest list of live entries of each linked entry. All lists
+	// together count, since any one may be older than a change.
+	told map[string][]wire.EntryInfo
+	// hearsay is the newest list from elsewhere; it counts while there is no link.
+	hearsay []wire.EntryInfo
 	links   map[string]int
 	heard   time.Time
 	halted  bool
 }
 
 func newAnnouncer(a *Agent) *announcer {
-	return &announcer{agent: a, entries: make(map[string]wire.EntryInfo), links: make(map[string]int), heard: time.Now()}
+	return &announcer{agent: a, told: make(map[string][]wire.EntryInfo), links: make(map[string]int), heard: time.Now()}
 }
 
 // key identifies an entry by address, since an address holds one entry at a time.
@@ -52,7 +55,7 @@
 	n.mu.Lock()
 	n.links[key(entry)]++
 	n.mu.Unlock()
-	n.learn(entries)
+	n.learn(entry, entries)
 }
 
 func (n *announcer) unlinked(entry wire.EntryInfo) {
@@ -61,21 +64,47 @@
 	n.links[key(entry)]--
 	if n.links[key(entry)] <= 0 {
 		delete(n.links, key(entry))
+		delete(n.told, key(entry))
 	}
 }
 
-// learn replaces the live entries.
-func (n *announcer) learn(entries []wire.EntryInfo) {
-	if len(entries) == 0 {
-		return
+// learn takes the list of a linked entry.
+func (n *announcer) learn(from wire.EntryInfo, entries []wire.EntryInfo) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(entries) > 0 && n.links[key(from)] > 0 {
+		n.heard = time.Now()
+		n.told[key(from)] = entries
 	}
+}
+
+// hear takes a list from elsewhere.
+func (n *announcer) hear(entries []wire.EntryInfo) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.heard = time.Now()
-	clear(n.entries)
-	for _, e := range entries {
-		n.entries[key(e)] = e
+	if len(entries) > 0 {
+		n.heard = time.Now()
+		n.hearsay = entries
+	}
+}
+
+// known returns the addresses of all entries known to be alive, sorted.
+func (n *announcer) known() []string {
+	lists := [][]wire.EntryInfo{n.hearsay}
+	if len(n.told) > 0 {
+		lists = lists[:0]
+		for _, list := range n.told {
+			lists = append(lists, list)
+		}
+	}
+	var all []string
+	for _, list := range lists {
+		for _, e := range list {
+			all = append(all, key(e))
+		}
 	}
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
 func (n *announcer) stop() {
@@ -103,14 +132,10 @@
 
 // chosen returns the addresses of the entries to be linked to.
 func (n *announcer) chosen() []string {
-	if len(n.entries) == 0 {
+	all := n.known()
+	if len(all) == 0 {
 		return n.agent.settings.Entries
 	}
-	all := make([]string, 0, len(n.entries))
-	for address := range n.entries {
-		all = append(all, address)
-	}
-	sort.Strings(all)
 	return Subset(n.agent.info.ID, all, n.agent.settings.Fanout)
 }
 
@@ -134,7 +159,7 @@
 func (n *announcer) informed() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.entries) > 0
+	return len(n.known()) > 0
 }
 
 func (n *announcer) run(ctx context.Context) error {
@@ -181,7 +206,7 @@
 	if err != nil {
 		return
 	}
-	n.learn(reply.Entries)
+	n.hear(reply.Entries)
 }
 
 // askTable learns the live entries from the platform when none is reachable.
@@ -202,8 +227,5 @@
 			entries = append(entries, member.Entry)
 		}
 	}
-	n.learn(entries)
-	n.mu.Lock()
-	n.heard = time.Now()
-	n.mu.Unlock()
+	n.hear(entries)
 }
--- a/service/agent/announcer_test.go
+++ b/service/agent/announcer_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"peridotpick.example/wire"
 )
 
 func names(n int) []string {
@@ -45,3 +47,20 @@
 	is.Equal(moved, share[entries[12]]) // only the links of the entry that went
 	is.Equal(Subset("a", entries[:3], fanout), entries[:3])
 }
+
+// TestOneOldListDoesNotHideAnEntry: found by the sweep over entries. The list of
+// an entry that has not seen a new one yet must not replace that of another.
+func TestOneOldListDoesNotHideAnEntry(t *testing.T) {
+	is := is.New(t)
+	a := wire.EntryInfo{ID: "a", Address: "192.0.2.1:1"}
+	b := wire.EntryInfo{ID: "b", Address: "192.0.2.2:1"}
+	n := newAnnouncer(nil)
+	n.hear([]wire.EntryInfo{a})
+	is.Equal(n.known(), []string{a.Address})
+	n.linked(a, []wire.EntryInfo{a, b})
+	n.linked(b, []wire.EntryInfo{b})
+	n.hear([]wire.EntryInfo{b}) // an old answer to an announcement
+	is.Equal(n.known(), []string{a.Address, b.Address})
+	n.unlinked(a)
+	is.Equal(n.known(), []string{b.Address})
+}
--- a/service/agent/link.go
+++ b/service/agent/link.go
@@ -99,7 +99,7 @@
 			l.heartbeat.Store(int64(msg.Heartbeat))
 		}
 		if len(msg.Entries) > 0 {
-			a.announcer.learn(msg.Entries)
+			a.announcer.learn(l.entry, msg.Entries)
 		}
 		a.post(func(now time.Time) agentcore.Output {
 			return a.core.Receive(now, l.id, msg)
