--- a/lab/load/report.go
+++ b/lab/load/report.go
@@ -40,15 +40,17 @@
 	// FloodRatio is that of the flooding team, if there was one.
 	FloodRatio *Quantiles `json:"flood_ratio,omitempty"`
 	// WastedPerTask counts messages beyond one send and one answer of each task that ran.
-	WastedPerTask    float64            `json:"wasted_messages_per_task"`
-	WastedByCause    map[string]float64 `json:"wasted_by_cause"`
-	MessagesPerTask  float64            `json:"messages_per_task"`
-	StartsTwice      int                `json:"starts_twice"`
-	PartialAnswers   int                `json:"partial_answers"`
-	FalseNotRun      int                `json:"false_not_run"`
-	CutInShutdown    int                `json:"cut_in_shutdown"`
-	Refused          int                `json:"refused"`
-	Failed           int                `json:"failed"`
+	WastedPerTask   float64            `json:"wasted_messages_per_task"`
+	WastedByCause   map[string]float64 `json:"wasted_by_cause"`
+	MessagesPerTask float64            `json:"messages_per_task"`
+	StartsTwice     int                `json:"starts_twice"`
+	PartialAnswers  int                `json:"partial_answers"`
+	FalseNotRun     int                `json:"false_not_run"`
+	CutInShutdown   int                `json:"cut_in_shutdown"`
+	Refused         int                `json:"refused"`
+	Failed          int                `json:"failed"`
+	// FailedRepeatable are failures, not refusals, of work that may be repeated.
+	FailedRepeatable int                `json:"failed_repeatable"`
 	Completed        int                `json:"completed"`
 	CompletedTasks   int                `json:"completed_tasks"`
 	ByKind           map[string]int     `json:"by_kind"`
@@ -141,6 +143,7 @@
 			rep.Refused++
 		default:
 			rep.Failed++
+			rep.FailedRepeatable += count(!res.once)
 		}
 		if res.kind != errkind.OK {
 			rep.ByKind[res.kind.String()]++
@@ -252,7 +255,7 @@
 		for _, class := range sortedClasses(r) {
 			fmt.Fprintf(w, " %s %.3f", class, r.ResponseRatio.Class[class].P99)
 		}
-		fmt.Fprintf(w, "; wasted: %s; kinds: %v\n", causes(r), r.ByKind)
+		fmt.Fprintf(w, "; wasted: %s; kinds: %v; of repeatable work: %d\n", causes(r), r.ByKind, r.FailedRepeatable)
 	}
 	return nil
 }
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -92,6 +92,8 @@
 	partial  bool
 	falseNot bool
 	flood    bool
+	// once is set if the tasks may not be repeated.
+	once bool
 }
 
 func newRun(o Options, c *cluster.Cluster) *run {
@@ -215,7 +217,7 @@
 
 func (r *run) record(kind Kind, a *Arrival, raw []json.RawMessage, err error, payloads []json.RawMessage, flood bool) {
 	took := time.Since(r.began) - a.At
-	res := result{class: kind.Class, at: a.At, tasks: len(a.RunMs), flood: flood}
+	res := result{class: kind.Class, at: a.At, tasks: len(a.RunMs), flood: flood, once: kind.Once}
 	res.ratio = took.Seconds() * 1000 / idealOf(a.RunMs, r.options.Shape.Agents*r.options.Shape.Slots)
 	var failure *caller.Failure
 	switch {
