A retry waits for a sound agent, and refusals are no failures

A task whose other agents were busy went back to the one that had failed it, which alone looked idle; and each attempt that an agent refused counted towards the failures a task may have. Ruled out: the retry budget (64 and a tenth of each completion).

Change: agents to avoid are used again only if no other is up; failures are counted, not attempts. A named test of each.

--- a/core/dispatch/core_test.go
+++ b/core/dispatch/core_test.go
@@ -347,3 +347,36 @@
 	b.flush()
 	b.is.Equal(b.starts(), 0)
 }
+
+// TestRetryDoesNotGoBackWhileOthersAreBusy: found by a load run with a worker
+// that fails everything. It looks idle while the others are full.
+func TestRetryDoesNotGoBackWhileOthersAreBusy(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit(1, false, true, 4) // both slots of both agents
+	b.flush()
+	bad := b.out.Sends[0]
+	b.core.Receive(b.now, bad.Link, &wire.ToEntry{Results: []*wire.Result{
+		{Submission: "c/team/key", Index: bad.Msg.Starts[0].Tasks[0].Index, Attempt: 1, Kind: errkind.TaskFailed},
+	}})
+	b.flush()
+	b.is.Equal(b.starts(), 0) // it waits for the other agent
+}
+
+// TestRefusalsAreNoFailures: found by the same run. Attempts that agents refused
+// must not use up those that a task may fail.
+func TestRefusalsAreNoFailures(t *testing.T) {
+	b := newBench(t, 3)
+	b.submit(1, false, true, 1)
+	b.flush()
+	for attempt := uint32(1); attempt <= 6; attempt++ {
+		b.core.Receive(b.now, b.out.Sends[0].Link, &wire.ToEntry{Results: []*wire.Result{
+			{Submission: "c/team/key", Attempt: attempt, Kind: errkind.Overloaded, NotRun: true},
+		}})
+		b.flush()
+	}
+	b.core.Receive(b.now, b.out.Sends[0].Link, &wire.ToEntry{Results: []*wire.Result{
+		{Submission: "c/team/key", Attempt: 7, Kind: errkind.TaskFailed},
+	}})
+	b.flush()
+	b.is.Equal(b.starts(), 1) // the first failure is retried
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -96,7 +96,9 @@
 	state   taskState
 	queued  bool
 	attempt uint32
-	flights []flight
+	// failures counts attempts that ran and failed; refused ones do not count.
+	failures int
+	flights  []flight
 	// checksum of the payload, valid if summed.
 	checksum uint64
 	summed   bool
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -78,7 +78,7 @@
 	}
 	ask := c.ask(now, t)
 	choice := c.pick(now, j, ask)
-	if choice.Agent == nil && len(t.avoid) > 0 {
+	if choice.Agent == nil && len(t.avoid) > 0 && !c.hasAlternative(t) {
 		ask.Avoid = nil
 		choice = c.pick(now, j, ask)
 	}
@@ -91,6 +91,22 @@
 	return fair.Taken
 }
 
+// hasAlternative reports whether an agent that t need not avoid is up, busy or
+// not: then t rather waits for it than go back to one that failed it.
+func (c *Core) hasAlternative(t *task) bool {
+	r := t.spec.requirement()
+	list := t.job.among
+	if !t.job.claimed {
+		list = c.pool.Feasible(r)
+	}
+	for _, a := range list {
+		if !a.Down && !a.Leaving && a.Service == r.Service && r.Selector.Matches(a.Labels) && !containsID(t.avoid, a.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) pick(now time.Time, j *job, ask *rank.Ask) rank.Choice {
 	if j.claimed {
 		return c.pool.PickAmong(now, j.among, ask)
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -98,10 +98,11 @@
 		c.decide(Decision{Kind: Ejection, Agent: a.ID, Reason: r.Kind})
 	}
 	t.kind = r.Kind
+	t.failures++
 	if len(t.flights) > 0 {
 		return // the other attempt may still complete
 	}
-	if t.spec.Repeatable && t.attempt < c.settings.MaxAttempts && c.retry.spend() {
+	if t.spec.Repeatable && t.failures < c.settings.MaxFailures && c.retry.spend() {
 		c.stats.WastedRetry += 2
 		t.avoid = append(t.avoid, a.ID)
 		t.state = taskInFlight
--- a/core/dispatch/settings.go
+++ b/core/dispatch/settings.go
@@ -11,8 +11,8 @@
 	Rank rank.Params
 	// MaxWaiting bounds the tasks that wait for an agent.
 	MaxWaiting int
-	// MaxAttempts bounds the attempts of a repeatable task.
-	MaxAttempts uint32
+	// MaxFailures is the number of failed attempts that end a repeatable task.
+	MaxFailures int
 	// RetryBurst and RetryShare bound retries: a burst, refilled by a share of
 	// each completed task.
 	RetryBurst float64
@@ -58,7 +58,7 @@
 	return Settings{
 		Rank:          rank.DefaultParams(),
 		MaxWaiting:    8192,
-		MaxAttempts:   4,
+		MaxFailures:   4,
 		RetryBurst:    64,
 		RetryShare:    0.1,
 		HedgeBurst:    16,
--- a/core/protocol/world_test.go
+++ b/core/protocol/world_test.go
@@ -213,7 +213,6 @@
 	id    string
 	proc  *process
 	core  agentWrap
-	serv  *process
 }
 
 const simSlots = 2
@@ -334,7 +333,6 @@
 	cut     map[string]bool
 	nextReq uint64
 	open    map[uint64]*request
-	timerAt time.Time
 }
 
 func (e *simEntry) start() {
