--- a/cmd/peridotpick/admin.go
+++ b/cmd/peridotpick/admin.go
@@ -99,11 +99,7 @@
 
 // sendDocument sends the file named by the argument.
 func sendDocument(cmd *cli.Command, method, path, base string) (*caller.Reply, error) {
-	client, err := newClient(cmd)
-	if err != nil {
-		return nil, err
-	}
-	name, err := oneArg(cmd, "FILE")
+	client, name, err := clientAndArg(cmd, "FILE")
 	if err != nil {
 		return nil, err
 	}
@@ -166,11 +162,7 @@
 		Description: "Example:\n  peridotpick config diff config.json",
 		Flags:       clientFlags(),
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			client, err := newClient(cmd)
-			if err != nil {
-				return err
-			}
-			name, err := oneArg(cmd, "FILE")
+			client, name, err := clientAndArg(cmd, "FILE")
 			if err != nil {
 				return err
 			}
--- a/cmd/peridotpick/client.go
+++ b/cmd/peridotpick/client.go
@@ -30,6 +30,16 @@
 	return caller.New(strings.TrimPrefix(base, "http://"), cmd.String("team")), nil
 }
 
+// clientAndArg returns a client and the single argument of a command.
+func clientAndArg(cmd *cli.Command, name string) (*caller.Client, string, error) {
+	arg, err := oneArg(cmd, name)
+	if err != nil {
+		return nil, "", err
+	}
+	client, err := newClient(cmd)
+	return client, arg, err
+}
+
 // oneArg returns the single argument of a command.
 func oneArg(cmd *cli.Command, name string) (string, error) {
 	if cmd.Args().Len() != 1 {
--- a/cmd/peridotpick/job.go
+++ b/cmd/peridotpick/job.go
@@ -98,11 +98,7 @@
 		Description: "Example:\n  peridotpick job get --team association --wait 10s scans-17",
 		Flags:       clientFlags(&cli.DurationFlag{Name: "wait", Usage: "wait for the end, at most 30s"}),
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			client, err := newClient(cmd)
-			if err != nil {
-				return err
-			}
-			key, err := oneArg(cmd, "KEY")
+			client, key, err := clientAndArg(cmd, "KEY")
 			if err != nil {
 				return err
 			}
@@ -121,11 +117,7 @@
 		Description: "Example:\n  peridotpick job cancel --team association scans-17",
 		Flags:       clientFlags(),
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			client, err := newClient(cmd)
-			if err != nil {
-				return err
-			}
-			key, err := oneArg(cmd, "KEY")
+			client, key, err := clientAndArg(cmd, "KEY")
 			if err != nil {
 				return err
 			}
