--- a/service/claimstore/store.go
+++ b/service/claimstore/store.go
@@ -258,42 +258,69 @@
 
 const secondsPerMinute = 60
 
-// Expire deletes up to limit claims that ended before a time. It returns how
-// many index rows were handled.
+// Expire deletes up to limit claims that ended before a time, in one
+// transaction. It returns how many index rows were handled.
 func (s *Store) Expire(ctx context.Context, before time.Time, limit int) (int, error) {
 	rows, err := s.table.List(ctx, prefixEnded, "", limit)
 	if err != nil {
 		return 0, err
 	}
 	bound := endedKey(before, "")
-	handled := 0
-	for _, row := range rows {
+	for i, row := range rows {
 		if row.Key >= bound {
+			rows = rows[:i]
 			break
 		}
-		if err := s.expireOne(ctx, row); err != nil {
-			return handled, err
-		}
-		handled++
 	}
-	return handled, nil
+	if len(rows) == 0 {
+		return 0, nil
+	}
+	changed, err := s.deleteEnded(ctx, rows, nil)
+	if err == nil && len(changed) > 0 {
+		_, err = s.deleteEnded(ctx, rows, changed)
+	}
+	return len(rows), err
 }
 
-// expireOne deletes a claim unless it changed after the index row was written:
-// both were written in one transaction and share its version.
-func (s *Store) expireOne(ctx context.Context, index table.Row) error {
-	_, submission, _ := strings.Cut(strings.TrimPrefix(index.Key, prefixEnded), "/")
-	drop := table.Op{Key: index.Key, Delete: true, IfVersion: table.Any}
-	commit, err := s.table.Commit(ctx, []table.Op{{Key: rowKey(submission), Delete: true, IfVersion: index.Version}, drop})
+// deleteEnded deletes index rows and their claims, but for claims in keep. It
+// returns the indexes of claims that changed after their index row was written
+// (both were written in one transaction and share its version); then nothing
+// was deleted.
+func (s *Store) deleteEnded(ctx context.Context, rows []table.Row, keep map[int]bool) (map[int]bool, error) {
+	var ops []table.Op
+	owner := make(map[int]int) // operation to row
+	for i, row := range rows {
+		ops = append(ops, table.Op{Key: row.Key, Delete: true, IfVersion: table.Any})
+		if keep[i] {
+			continue
+		}
+		_, submission, _ := strings.Cut(strings.TrimPrefix(row.Key, prefixEnded), "/")
+		owner[len(ops)] = i
+		ops = append(ops, table.Op{Key: rowKey(submission), Delete: true, IfVersion: row.Version})
+	}
+	commit, err := s.table.Commit(ctx, ops)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if !commit.Applied {
-		_, err = s.table.Commit(ctx, []table.Op{drop})
-		return err
+		changed := make(map[int]bool)
+		for _, c := range commit.Conflicts {
+			changed[owner[c.Op]] = true
+		}
+		return changed, nil
 	}
-	if len(index.Value) > 0 {
-		return s.objects.Delete(ctx, string(index.Value))
+	return nil, s.deleteBlobs(ctx, rows, keep)
+}
+
+// deleteBlobs deletes the objects of deleted claims.
+func (s *Store) deleteBlobs(ctx context.Context, rows []table.Row, keep map[int]bool) error {
+	for i, row := range rows {
+		if len(row.Value) == 0 || keep[i] {
+			continue
+		}
+		if err := s.objects.Delete(ctx, string(row.Value)); err != nil {
+			return err
+		}
 	}
 	return nil
 }
