A submission lost after its deadline is looked up and ends

An entry that was paused past a deadline lost its submission; the write that was to tell who holds it had expired when it was made, was dropped, and was made again for ever.

Change: such a write expires only after ClaimWait; a claim that is applied after the deadline is voided; one that cannot be sent then ends with 'unknown'.

--- a/core/dispatch/claims.go
+++ b/core/dispatch/claims.go
@@ -89,8 +89,8 @@
 	}
 	j.phase = phaseClaiming
 	expires := now.Add(c.settings.ClaimWait)
-	if latest := j.deadline.Add(-claimMargin); latest.Before(expires) {
-		expires = latest
+	if latest := j.deadline.Add(-claimMargin); latest.Before(expires) && !j.history {
+		expires = latest // with a history the write is to learn what is in force, also late
 	}
 	c.write(j, &claim.Row{Epoch: 1, Candidates: c.plan(j)}, 0, expires)
 }
@@ -199,7 +199,7 @@
 
 func (c *Core) claimApplied(now time.Time, j *job) {
 	switch {
-	case j.gaveUp:
+	case j.gaveUp, !now.Before(j.deadline):
 		c.withdraw(now, j, &wire.Outcome{Kind: errkind.DeadlineTooShort})
 	case j.cancelAsked:
 		c.makeTasks(j)
@@ -242,7 +242,8 @@
 		c.end(now, j)
 		return
 	}
-	if j.gaveUp {
+	late := j.phase == phaseClaiming && !now.Before(j.deadline)
+	if j.gaveUp || late {
 		c.end(now, j)
 		return
 	}
--- a/core/dispatch/core_test.go
+++ b/core/dispatch/core_test.go
@@ -380,3 +380,28 @@
 	b.flush()
 	b.is.Equal(b.starts(), 1) // the first failure is retried
 }
+
+// TestLateReclaimIsSentAndEnds: found by seed 716717. A submission that was lost
+// after its deadline was looked up with writes that had expired already, for ever.
+func TestLateReclaimIsSentAndEnds(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(1, true, false, 1)
+	b.flush()
+	b.applied(1)
+	b.flush()
+	b.now = b.now.Add(11 * time.Second)
+	b.flush() // the deadline: the outcome is written
+	row := lostOwner(1, 1)
+	row.Epoch = 2
+	b.conflict(row, 5)
+	b.flush()
+	b.core.PeerReplied(b.now, "c/team/key", 9, PeerAnswered, &wire.AwaitReply{})
+	b.now = b.now.Add(time.Second)
+	b.flush()
+	w := b.out.Writes[0]
+	b.is.True(w.Expires.After(b.now))
+	b.core.ClaimWritten(b.now, claim.Result{Submission: w.Row.Submission, Nonce: w.Row.Nonce, Status: claim.NotSent})
+	b.flush()
+	b.is.Equal(b.out.Answers[0].Outcome.Kind, errkind.FateUnknown)
+	b.is.Equal(b.core.Open(), 0)
+}
