--- a/lab/cluster/promises_test.go
+++ b/lab/cluster/promises_test.go
@@ -271,3 +271,45 @@
 	all.Wait()
 	is.Equal(len(c.Nodes()), 3)
 }
+
+// TestAllEntriesReplacedAtOnce: agents that know only entries that are gone find
+// the new ones through the table service.
+func TestAllEntriesReplacedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, nil)
+	for _, m := range c.Entries() {
+		m.Kill()
+	}
+	for range 3 {
+		_, err := c.AddEntry()
+		is.NoErr(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	is.NoErr(c.Ready(ctx))
+	for entry := 3; entry < 6; entry++ {
+		_, err := c.caller(entry).Call(AssociationService, "allergen-flag", "", 10*time.Second, []byte(`{"runMs":5}`))
+		is.NoErr(err)
+	}
+}
+
+// TestNewIncarnationOfAnAgent: an agent that comes back under its old name is
+// used again, and what the old one may have started is not started again.
+func TestNewIncarnationOfAnAgent(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, func(s *Shape) { s.Agents = 1 })
+	worker := c.Nodes()[0].Worker
+	j := job("k9", "shift-close", 2, 3000)
+	done := make(chan error, 1)
+	go func() { _, err := c.caller(0).Submit("k9", j); done <- err }()
+	c.waitClaimed("k9")
+	for c.Journal.StartsOf("k9/0") == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.KillNode(worker)
+	is.NoErr(c.StartNode(worker))
+	is.Equal(kindOf(<-done), errkind.FateUnknown)
+	is.Equal(c.Journal.StartsOf("k9/0"), 1)
+	_, err := c.caller(1).Call(AssociationService, "allergen-flag", "", 10*time.Second, []byte(`{"runMs":5}`))
+	is.NoErr(err)
+}
