--- /dev/null
+++ b/service/members/members_test.go
@@ -0,0 +1,86 @@
+package members
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpick.example/platform/standin"
+	"peridotpick.example/platform/table"
+	"peridotpick.example/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id string, incarnation uint64) wire.EntryInfo {
+	return wire.EntryInfo{ID: id, Incarnation: incarnation, Address: "192.0.2.1:7101"}
+}
+
+// flaky loses the answer of the next commit though it takes effect.
+type flaky struct {
+	table.Table
+	lose bool
+}
+
+func (f *flaky) Commit(ctx context.Context, ops []table.Op) (table.Commit, error) {
+	result, err := f.Table.Commit(ctx, ops)
+	if f.lose {
+		f.lose = false
+		return table.Commit{}, errors.New("answer lost")
+	}
+	return result, err
+}
+
+func TestRenewalAfterALostAnswer(t *testing.T) {
+	is := is.New(t)
+	f := &flaky{Table: standin.NewTable(1, 0, 0), lose: true}
+	r := New(f, "region", entry("a", 1))
+	ctx := context.Background()
+	_, err := r.Renew(ctx, start, 1)
+	is.True(err != nil)
+	renewal, err := r.Renew(ctx, start, 1)
+	is.NoErr(err)
+	is.True(renewal.Previous == nil) // the row met is the own
+}
+
+func TestEarlierIncarnationIsReported(t *testing.T) {
+	is := is.New(t)
+	shared := standin.NewTable(1, 0, 0)
+	ctx := context.Background()
+	_, err := New(shared, "region", entry("a", 1)).Renew(ctx, start, 1)
+	is.NoErr(err)
+	renewal, err := New(shared, "region", entry("a", 2)).Renew(ctx, start, 1)
+	is.NoErr(err)
+	is.Equal(renewal.Previous.Incarnation, uint64(1))
+}
+
+func TestDeadOnlyIfUnchanged(t *testing.T) {
+	is := is.New(t)
+	shared := standin.NewTable(1, 0, 0)
+	ctx := context.Background()
+	a, b := New(shared, "region", entry("a", 1)), New(shared, "region", entry("b", 1))
+	_, err := a.Renew(ctx, start, 1)
+	is.NoErr(err)
+	is.NoErr(b.Look(ctx, start))
+	is.Equal(len(b.Live(start)), 2)
+	later := start.Add(DeadAfter + time.Second)
+	is.Equal(b.Lost(later), []wire.EntryInfo{entry("a", 1)})
+	_, err = a.Renew(ctx, later, 1) // it was only slow
+	is.NoErr(err)
+	dead, err := b.MarkDead(ctx, "a")
+	is.NoErr(err)
+	is.True(!dead)
+	is.NoErr(b.Look(ctx, later))
+	is.Equal(len(b.Lost(later)), 0)
+	dead, err = b.MarkDead(ctx, "a")
+	is.NoErr(err)
+	is.True(dead)
+	_, err = a.Renew(ctx, later, 1) // an entry wrongly judged dead comes back
+	is.NoErr(err)
+	is.NoErr(b.Remove(ctx, "a")) // does nothing: the row has changed
+	is.NoErr(b.Look(ctx, later))
+	is.Equal(len(b.Live(later)), 2)
+}
