--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -98,9 +98,11 @@
 	jobs    map[string]*job
 	queue   *fair.Queue[*task]
 	timers  timerHeap
-	teams   map[string]*teamState
-	retry   bucket
-	hedge   bucket
+	// timerSeq orders timers that are due at the same time.
+	timerSeq uint64
+	teams    map[string]*teamState
+	retry    bucket
+	hedge    bucket
 	// leaseUntil is the time up to which claimed work may be started.
 	leaseUntil time.Time
 	draining   bool
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -118,10 +118,8 @@
 type flight struct {
 	agent   rank.ID
 	attempt uint32
-	sentAt  time.Time
 	// lost is set when the link went down after the send.
-	lost  bool
-	hedge bool
+	lost bool
 	// overdue is set when the attempt runs far longer than its kind does.
 	overdue bool
 }
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -194,7 +194,7 @@
 		if s.Phase == wire.Done && t.kind != errkind.OK {
 			return // a failure that was handled before
 		}
-		t.flights = append(t.flights, flight{agent: a.ID, attempt: s.Attempt, sentAt: now})
+		t.flights = append(t.flights, flight{agent: a.ID, attempt: s.Attempt})
 		t.state = taskInFlight
 		a.Sent()
 		c.team(j.team).inFlight++
@@ -270,7 +270,7 @@
 	j := t.job
 	switch {
 	case len(j.gone) > 0:
-		c.doubt(now, t, flight{sentAt: now})
+		c.doubt(now, t, flight{})
 	case j.orphan:
 		c.fail(now, j, errkind.DeadlineExceeded, "the entry that owned the submission was lost before every task had started")
 	default:
@@ -328,15 +328,15 @@
 		return
 	}
 	if !j.claimed {
-		c.lapsed(now, t, f.agent, f.attempt)
+		c.lapsed(now, t, f.agent)
 		return
 	}
 	// Whatever started there did so before now.
-	c.after(now.Add(t.spec.MaxRun), timer{kind: timerLapse, job: j, task: t, agent: f.agent, attempt: f.attempt})
+	c.after(now.Add(t.spec.MaxRun), timer{kind: timerLapse, job: j, task: t, agent: f.agent})
 }
 
 // lapsed starts a repeatable task again whose earlier attempt has surely ended.
-func (c *Core) lapsed(now time.Time, t *task, agent rank.ID, _ uint32) {
+func (c *Core) lapsed(now time.Time, t *task, agent rank.ID) {
 	if t.state != taskInDoubt {
 		return
 	}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -154,7 +154,7 @@
 	id := c.linked[a.ID]
 	t.attempt++
 	t.state = taskInFlight
-	t.flights = append(t.flights, flight{agent: a.ID, attempt: t.attempt, sentAt: now, hedge: why == Hedged})
+	t.flights = append(t.flights, flight{agent: a.ID, attempt: t.attempt})
 	a.Sent()
 	c.team(j.team).inFlight++
 	a.Probing()
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -23,8 +23,6 @@
 	Takeovers, Fences, Ejected uint64
 	// Corrupt counts results whose checksum did not match.
 	Corrupt uint64
-
-	timerSeq uint64
 }
 
 // Wasted returns the sum of wasted messages.
--- a/core/dispatch/timers.go
+++ b/core/dispatch/timers.go
@@ -30,7 +30,7 @@
 	kind timerKind
 	job  *job
 	task *task
-	// agent and attempt name the flight that a hedge or lapse is about.
+	// agent and attempt name the flight that the timer is about.
 	agent   rank.ID
 	attempt uint32
 	// request is the caller whose wait ends.
@@ -41,8 +41,8 @@
 
 func (c *Core) after(at time.Time, t timer) *timer {
 	t.at = at
-	c.stats.timerSeq++
-	t.seq = c.stats.timerSeq
+	c.timerSeq++
+	t.seq = c.timerSeq
 	armed := &t
 	heap.Push(&c.timers, armed)
 	return armed
@@ -77,7 +77,7 @@
 	case timerOverdue:
 		c.markOverdue(t.task, t.agent, t.attempt)
 	case timerLapse:
-		c.lapsed(now, t.task, t.agent, t.attempt)
+		c.lapsed(now, t.task, t.agent)
 	case timerUnknown:
 		c.claimStillUnknown(t.job, t.request)
 	case timerWaiter:
--- a/lab/backendserver/server.go
+++ b/lab/backendserver/server.go
@@ -26,8 +26,6 @@
 	Slow float64
 	// FailAll fails every task at once.
 	FailAll bool
-	// Corrupt flips a byte of each answer after its checksum was computed.
-	Corrupt bool
 }
 
 // Start is one start of a task, for the detection of double starts.
--- a/service/entry/api.go
+++ b/service/entry/api.go
@@ -48,7 +48,6 @@
 	devIdentity  = "dev"
 	// bootstrapIdentity is the author of the first configuration.
 	bootstrapIdentity = "bootstrap"
-	devTeamHeader     = headerTeam
 )
 
 // handler serves one route for an authenticated caller.
@@ -179,9 +178,9 @@
 	if roles[0] != config.RoleCaller {
 		return config.Identity{Role: config.RoleOperator, Name: devIdentity}, nil
 	}
-	team := string(ctx.Request.Header.Peek(devTeamHeader))
+	team := string(ctx.Request.Header.Peek(headerTeam))
 	if conf.Team(team) == nil {
-		return config.Identity{}, errkind.NewField(errkind.Unauthorized, devTeamHeader, "unknown team: "+team)
+		return config.Identity{}, errkind.NewField(errkind.Unauthorized, headerTeam, "unknown team: "+team)
 	}
 	return config.Identity{Role: config.RoleCaller, Name: team}, nil
 }
