The platform's folder is cleared for the users' adapter

Change: the interface moves to common/table, the client to service/tableclient, the stand-ins to lab/platformstandin. No behaviour changes. Checked: go build work, go vet work.

--- a/cmd/peridotpick-agent/run.go
+++ b/cmd/peridotpick-agent/run.go
@@ -6,9 +6,9 @@
 	"github.com/urfave/cli/v3"
 
 	"peridotpick.example/common/settings"
-	"peridotpick.example/platform/client"
 	"peridotpick.example/service/agent"
 	"peridotpick.example/service/process"
+	"peridotpick.example/service/tableclient"
 )
 
 func runCommand() *cli.Command {
@@ -31,7 +31,7 @@
 	}
 	defer func() { _ = sink.Close() }()
 	a, err := agent.New(s, agent.Deps{
-		Logs: sink, Table: client.New(s.Platform.Address, s.Platform.Timeout.Std()), Transport: transport,
+		Logs: sink, Table: tableclient.New(s.Platform.Address, s.Platform.Timeout.Std()), Transport: transport,
 	})
 	if err != nil {
 		return err
--- a/cmd/peridotpick/entry.go
+++ b/cmd/peridotpick/entry.go
@@ -6,9 +6,9 @@
 	"github.com/urfave/cli/v3"
 
 	"peridotpick.example/common/settings"
-	"peridotpick.example/platform/client"
 	"peridotpick.example/service/entry"
 	"peridotpick.example/service/process"
+	"peridotpick.example/service/tableclient"
 )
 
 func entryCommand() *cli.Command {
@@ -34,7 +34,7 @@
 		return err
 	}
 	defer func() { _ = sink.Close() }()
-	platform := client.New(s.Platform.Address, s.Platform.Timeout.Std())
+	platform := tableclient.New(s.Platform.Address, s.Platform.Timeout.Std())
 	e, err := entry.New(s, entry.Deps{
 		Logs: sink, Table: platform, Objects: platform.Objects(), Workers: platform.Workers(), Transport: transport,
 	})
--- a/cmd/peridotpick/standins.go
+++ b/cmd/peridotpick/standins.go
@@ -8,7 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"peridotpick.example/lab/backendserver"
-	"peridotpick.example/platform/standin"
+	"peridotpick.example/lab/platformstandin"
 )
 
 // platformCommand runs the platform's stand-in, to try a deployment by hand.
@@ -25,9 +25,9 @@
 			if err != nil {
 				return err
 			}
-			t := standin.NewTable(1, standin.DefaultWriteRate, standin.DefaultReadRate)
-			t.SetFaults(standin.Faults{WriteLatency: cmd.Duration("write-latency")})
-			server := standin.NewServer(t, standin.NewObjects(), standin.NewWorkers(time.Second, nil))
+			t := platformstandin.NewTable(1, platformstandin.DefaultWriteRate, platformstandin.DefaultReadRate)
+			t.SetFaults(platformstandin.Faults{WriteLatency: cmd.Duration("write-latency")})
+			server := platformstandin.NewServer(t, platformstandin.NewObjects(), platformstandin.NewWorkers(time.Second, nil))
 			context.AfterFunc(ctx, func() { _ = server.Close() })
 			return server.Serve(l)
 		},
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -17,15 +17,15 @@
 	"peridotpick.example/common/config"
 	"peridotpick.example/common/logs"
 	"peridotpick.example/common/settings"
+	"peridotpick.example/common/table"
 	"peridotpick.example/core/dispatch"
 	"peridotpick.example/core/rank"
 	"peridotpick.example/lab/backendserver"
-	"peridotpick.example/platform/client"
-	"peridotpick.example/platform/standin"
-	"peridotpick.example/platform/table"
+	"peridotpick.example/lab/platformstandin"
 	"peridotpick.example/service/agent"
 	"peridotpick.example/service/confwatch"
 	"peridotpick.example/service/entry"
+	"peridotpick.example/service/tableclient"
 	"peridotpick.example/service/transport"
 )
 
@@ -94,12 +94,12 @@
 // Cluster is a running deployment.
 type Cluster struct {
 	Shape   Shape
-	Table   *standin.Table
-	Objects *standin.Objects
-	Workers *standin.Workers
+	Table   *platformstandin.Table
+	Objects *platformstandin.Objects
+	Workers *platformstandin.Workers
 	Journal *backendserver.Journal
 
-	platform *standin.Server
+	platform *platformstandin.Server
 	address  string
 
 	mu      sync.Mutex
@@ -120,11 +120,11 @@
 		shape.Logs = logs.Discard()
 	}
 	c := &Cluster{
-		Shape: shape, Table: standin.NewTable(shape.Seed, 0, 0), Objects: standin.NewObjects(),
+		Shape: shape, Table: platformstandin.NewTable(shape.Seed, 0, 0), Objects: platformstandin.NewObjects(),
 		Journal: backendserver.NewJournal(), nodes: make(map[string]*Node),
 	}
 	c.Table.SetFaults(c.TableFaults())
-	c.Workers = standin.NewWorkers(shape.WakeTime, c.machines())
+	c.Workers = platformstandin.NewWorkers(shape.WakeTime, c.machines())
 	c.Workers.OnAwake = func(id string) { _ = c.StartNode(id) }
 	c.Workers.OnAsleep = func(id string) { c.StopNode(id) }
 	if err := c.servePlatform(); err != nil {
@@ -154,7 +154,7 @@
 		return eris.Wrap(err, "listen")
 	}
 	c.address = l.Addr().String()
-	c.platform = standin.NewServer(c.Table, c.Objects, c.Workers)
+	c.platform = platformstandin.NewServer(c.Table, c.Objects, c.Workers)
 	go func() { _ = c.platform.Serve(l) }()
 	return nil
 }
@@ -206,7 +206,7 @@
 		Limits:   settings.DefaultEntryLimits(),
 	}
 	s.Limits.DrainNotice = settings.Duration(drainNotice)
-	platform := client.New(c.address, s.Platform.Timeout.Std())
+	platform := tableclient.New(c.address, s.Platform.Timeout.Std())
 	registry := metrics.NewRegistry()
 	e, err := entry.New(s, entry.Deps{
 		Logs: c.Shape.Logs, Table: platform, Objects: platform.Objects(), Workers: platform.Workers(),
@@ -272,7 +272,7 @@
 	}
 	go func() { _ = server.Serve() }()
 	a, err := agent.New(c.agentSettings(machine, server.Address()), agent.Deps{
-		Logs: c.Shape.Logs, Table: client.New(c.address, time.Second), Transport: transport.New(nil),
+		Logs: c.Shape.Logs, Table: tableclient.New(c.address, time.Second), Transport: transport.New(nil),
 	})
 	if err != nil {
 		return err
@@ -382,6 +382,6 @@
 }
 
 // TableFaults returns the faults of a healthy table service of the shape.
-func (c *Cluster) TableFaults() standin.Faults {
-	return standin.Faults{WriteLatency: c.Shape.WriteLatency, ReadLatency: c.Shape.WriteLatency / 5, Jitter: 0.2}
+func (c *Cluster) TableFaults() platformstandin.Faults {
+	return platformstandin.Faults{WriteLatency: c.Shape.WriteLatency, ReadLatency: c.Shape.WriteLatency / 5, Jitter: 0.2}
 }
--- a/lab/cluster/promises_test.go
+++ b/lab/cluster/promises_test.go
@@ -14,7 +14,7 @@
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/lab/backendserver"
 	"peridotpick.example/lab/caller"
-	"peridotpick.example/platform/standin"
+	"peridotpick.example/lab/platformstandin"
 )
 
 // startCluster starts a small deployment and ends it with the test.
@@ -147,7 +147,7 @@
 func TestStoreAway(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t, nil)
-	c.Table.SetFaults(standin.Faults{Down: true})
+	c.Table.SetFaults(platformstandin.Faults{Down: true})
 	_, err := c.caller(0).Call(AssociationService, "allergen-flag", "", 5*time.Second, []byte(`{"runMs":10}`))
 	is.NoErr(err) // repeatable calls go on
 	_, err = c.caller(0).Submit("k4", job("k4", "shift-close", 1, 10))
--- a/lab/load/faults.go
+++ b/lab/load/faults.go
@@ -10,7 +10,7 @@
 	"peridotpick.example/common/settings"
 	"peridotpick.example/lab/backendserver"
 	"peridotpick.example/lab/cluster"
-	"peridotpick.example/platform/standin"
+	"peridotpick.example/lab/platformstandin"
 )
 
 // FaultKind names a fault of a schedule.
@@ -64,9 +64,9 @@
 	case FaultLeave:
 		go c.StopNode(f.Worker)
 	case FaultTableDown:
-		f.table(c, func(t *standin.Faults) { t.Down = true })
+		f.table(c, func(t *platformstandin.Faults) { t.Down = true })
 	case FaultTableLoss:
-		f.table(c, func(t *standin.Faults) { t.LoseAnswers = f.Factor })
+		f.table(c, func(t *platformstandin.Faults) { t.LoseAnswers = f.Factor })
 	case FaultKillEntry:
 		c.Entries()[f.Entry].Kill()
 	case FaultStopEntry:
@@ -85,7 +85,7 @@
 	}
 }
 
-func (f Fault) table(c *cluster.Cluster, change func(*standin.Faults)) {
+func (f Fault) table(c *cluster.Cluster, change func(*platformstandin.Faults)) {
 	healthy := c.TableFaults()
 	broken := healthy
 	change(&broken)
--- a/platform/standin/http.go
+++ b/lab/platformstandin/http.go
@@ -1,4 +1,4 @@
-package standin
+package platformstandin
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"peridotpick.example/platform/client"
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
+	"peridotpick.example/service/tableclient"
 )
 
 // Server serves the stand-ins over the HTTP protocol that package client speaks.
@@ -38,22 +38,22 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
-	case path == client.PathCommit:
+	case path == tableclient.PathCommit:
 		s.commit(ctx)
-	case path == client.PathRow:
+	case path == tableclient.PathRow:
 		row, err := s.table.Get(ctx, string(ctx.QueryArgs().Peek("key")))
 		reply(ctx, row, err)
-	case path == client.PathRows:
+	case path == tableclient.PathRows:
 		limit, _ := ctx.QueryArgs().GetUint("limit")
 		rows, err := s.table.List(ctx, string(ctx.QueryArgs().Peek("prefix")), string(ctx.QueryArgs().Peek("after")), limit)
 		reply(ctx, rows, err)
-	case strings.HasPrefix(path, client.PathObjects):
-		s.object(ctx, strings.TrimPrefix(path, client.PathObjects))
-	case path == client.PathWorkers:
+	case strings.HasPrefix(path, tableclient.PathObjects):
+		s.object(ctx, strings.TrimPrefix(path, tableclient.PathObjects))
+	case path == tableclient.PathWorkers:
 		list, err := s.workers.List(ctx)
 		reply(ctx, list, err)
-	case strings.HasPrefix(path, client.PathWorkers+"/"):
-		s.power(ctx, strings.Split(strings.TrimPrefix(path, client.PathWorkers+"/"), "/"))
+	case strings.HasPrefix(path, tableclient.PathWorkers+"/"):
+		s.power(ctx, strings.Split(strings.TrimPrefix(path, tableclient.PathWorkers+"/"), "/"))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/platform/standin/objects.go
+++ b/lab/platformstandin/objects.go
@@ -1,10 +1,10 @@
-package standin
+package platformstandin
 
 import (
 	"context"
 	"sync"
 
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
 )
 
 // Objects is the stand-in for the object store.
--- a/platform/standin/table.go
+++ b/lab/platformstandin/table.go
@@ -1,6 +1,6 @@
-// Package standin is an in-memory platform for tests, demos and experiments.
+// Package platformstandin is an in-memory platform for tests, demos and experiments.
 // Its faults are switched by the test that owns it.
-package standin
+package platformstandin
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
 )
 
 // Faults are the faults of the table service at present. The zero value is
--- a/platform/standin/workers.go
+++ b/lab/platformstandin/workers.go
@@ -1,4 +1,4 @@
-package standin
+package platformstandin
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
 )
 
 // Workers is the stand-in for the platform's power control.
--- a/service/agent/agent.go
+++ b/service/agent/agent.go
@@ -19,8 +19,8 @@
 
 	"peridotpick.example/common/logs"
 	"peridotpick.example/common/settings"
+	"peridotpick.example/common/table"
 	"peridotpick.example/core/agentcore"
-	"peridotpick.example/platform/table"
 	"peridotpick.example/service/backend"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire"
--- a/service/claimstore/store.go
+++ b/service/claimstore/store.go
@@ -18,9 +18,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"peridotpick.example/common/table"
 	"peridotpick.example/core/claim"
 	"peridotpick.example/core/group"
-	"peridotpick.example/platform/table"
 	"peridotpick.example/wire"
 )
 
--- a/service/claimstore/store_test.go
+++ b/service/claimstore/store_test.go
@@ -9,7 +9,7 @@
 
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/core/claim"
-	"peridotpick.example/platform/standin"
+	"peridotpick.example/lab/platformstandin"
 	"peridotpick.example/wire"
 )
 
@@ -19,14 +19,14 @@
 type bench struct {
 	is      *is.I
 	store   *Store
-	table   *standin.Table
-	objects *standin.Objects
+	table   *platformstandin.Table
+	objects *platformstandin.Objects
 	fates   chan claim.Result
 	nonce   uint64
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{is: is.New(t), table: standin.NewTable(1, 0, 0), objects: standin.NewObjects(), fates: make(chan claim.Result, 16)}
+	b := &bench{is: is.New(t), table: platformstandin.NewTable(1, 0, 0), objects: platformstandin.NewObjects(), fates: make(chan claim.Result, 16)}
 	b.store = New(DefaultSettings(), b.table, b.objects, func(results []claim.Result) {
 		for _, r := range results {
 			b.fates <- r
--- a/service/confwatch/store.go
+++ b/service/confwatch/store.go
@@ -21,7 +21,7 @@
 
 	"peridotpick.example/common/config"
 	"peridotpick.example/common/errkind"
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
 )
 
 // Keys of the configuration in the table.
--- a/service/confwatch/store_test.go
+++ b/service/confwatch/store_test.go
@@ -10,8 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"peridotpick.example/common/config"
-	"peridotpick.example/platform/standin"
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
+	"peridotpick.example/lab/platformstandin"
 )
 
 const document = `{"teams":[],"services":[],"policy":{}}`
@@ -33,7 +33,7 @@
 
 func TestLostAnswerIsNoConflictWithItself(t *testing.T) {
 	is := is.New(t)
-	s := NewStore(&flaky{Table: standin.NewTable(1, 0, 0), lose: 1})
+	s := NewStore(&flaky{Table: platformstandin.NewTable(1, 0, 0), lose: 1})
 	v, err := s.Put(context.Background(), 0, "op", time.Now(), []byte(document))
 	is.NoErr(err)
 	is.Equal(v.Number, uint64(1))
@@ -41,7 +41,7 @@
 
 func TestLoserSeesTheWinner(t *testing.T) {
 	is := is.New(t)
-	s := NewStore(standin.NewTable(1, 0, 0))
+	s := NewStore(platformstandin.NewTable(1, 0, 0))
 	ctx := context.Background()
 	_, err := s.Put(ctx, 0, "first", time.Now(), []byte(document))
 	is.NoErr(err)
@@ -56,7 +56,7 @@
 
 func TestNeverBack(t *testing.T) {
 	is := is.New(t)
-	t1 := standin.NewTable(1, 0, 0)
+	t1 := platformstandin.NewTable(1, 0, 0)
 	s := NewStore(t1)
 	ctx := context.Background()
 	w := NewWatcher(s, zerolog.Nop(), func(*config.Compiled) {}, func(bool) {})
--- a/service/entry/power.go
+++ b/service/entry/power.go
@@ -11,10 +11,10 @@
 	"github.com/zeebo/xxh3"
 
 	"peridotpick.example/common/logs"
+	"peridotpick.example/common/table"
 	"peridotpick.example/core/dispatch"
 	"peridotpick.example/core/rank"
 	"peridotpick.example/core/wake"
-	"peridotpick.example/platform/table"
 	"peridotpick.example/wire"
 )
 
--- a/service/members/members.go
+++ b/service/members/members.go
@@ -20,7 +20,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
 	"peridotpick.example/wire"
 )
 
--- a/service/members/members_test.go
+++ b/service/members/members_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/matryer/is"
 
-	"peridotpick.example/platform/standin"
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
+	"peridotpick.example/lab/platformstandin"
 	"peridotpick.example/wire"
 )
 
@@ -36,7 +36,7 @@
 
 func TestRenewalAfterALostAnswer(t *testing.T) {
 	is := is.New(t)
-	f := &flaky{Table: standin.NewTable(1, 0, 0), lose: true}
+	f := &flaky{Table: platformstandin.NewTable(1, 0, 0), lose: true}
 	r := New(f, "region", entry("a", 1))
 	ctx := context.Background()
 	_, err := r.Renew(ctx, start, 1)
@@ -48,7 +48,7 @@
 
 func TestEarlierIncarnationIsReported(t *testing.T) {
 	is := is.New(t)
-	shared := standin.NewTable(1, 0, 0)
+	shared := platformstandin.NewTable(1, 0, 0)
 	ctx := context.Background()
 	_, err := New(shared, "region", entry("a", 1)).Renew(ctx, start, 1)
 	is.NoErr(err)
@@ -59,7 +59,7 @@
 
 func TestDeadOnlyIfUnchanged(t *testing.T) {
 	is := is.New(t)
-	shared := standin.NewTable(1, 0, 0)
+	shared := platformstandin.NewTable(1, 0, 0)
 	ctx := context.Background()
 	a, b := New(shared, "region", entry("a", 1)), New(shared, "region", entry("b", 1))
 	_, err := a.Renew(ctx, start, 1)
--- a/platform/client/client.go
+++ b/service/tableclient/client.go
@@ -1,10 +1,10 @@
-// Package client reaches the platform over HTTP with JSON bodies. Conditional
+// Package tableclient reaches the platform over HTTP with JSON bodies. Conditional
 // writes carry the expected version of each row.
 //
 // A request that was refused before it was sent, or with a status that says it
 // had no effect, fails with a definite error. Any other failure leaves the fate
 // of a commit unknown; the client never repeats a commit on its own.
-package client
+package tableclient
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"peridotpick.example/platform/table"
+	"peridotpick.example/common/table"
 )
 
 // Paths of the platform's interface.
