--- a/cmd/peridotpick-agent/main.go
+++ b/cmd/peridotpick-agent/main.go
@@ -14,9 +14,10 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	signal.Ignore(syscall.SIGHUP) // settings are read at the start; a changed file must not end the process
 	app := &cli.Command{
 		Name: "peridotpick-agent", Usage: "process beside one backend server",
-		Commands: []*cli.Command{runCommand(), checkCommand()},
+		Commands: []*cli.Command{runCommand(), superviseCommand(), checkCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "peridotpick-agent:", err)
--- /dev/null
+++ b/cmd/peridotpick-agent/supervise.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpick.example/common/logs"
+	core "peridotpick.example/core/runner"
+	"peridotpick.example/platform/boot"
+	"peridotpick.example/platform/store"
+	"peridotpick.example/platform/worker"
+	"peridotpick.example/service/runner"
+	"peridotpick.example/service/transport"
+)
+
+func superviseCommand() *cli.Command {
+	return &cli.Command{
+		Name: "supervise", Usage: "run an agent on the users' platform, until SIGTERM",
+		Description: "Reads the platform's settings file, whose path is in " + boot.PathVariable + ".",
+		Action:      runSupervise,
+	}
+}
+
+func runSupervise(ctx context.Context, _ *cli.Command) error {
+	file, err := boot.Load()
+	if err != nil {
+		return err
+	}
+	sink := logs.New(os.Stdout, zerolog.InfoLevel)
+	defer func() { _ = sink.Close() }()
+	log := sink.For(logs.Agent)
+	a := runner.New(superviseSettings(file), runner.Deps{
+		Logs: sink, Transport: transport.New(nil), Registry: store.New(file.Platform.Address),
+		Worker: worker.New(file.BackendServer, lookWait, log),
+	})
+	announcements := worker.NewAnnouncements(file.Name, a, log)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, _ := errgroup.WithContext(work)
+	group.Go(func() error { return announcements.Serve(work, file.Listen.Announce) })
+	group.Go(func() error {
+		defer stop()
+		return a.Run(ctx)
+	})
+	return group.Wait()
+}
+
+// Times of an agent that no settings name.
+const (
+	// lookWait is how long a look at the worker waits for an end. It bounds the age
+	// of what is known of the progress of runs.
+	lookWait = 100 * time.Millisecond
+	// adoptWithin is what an entry needs to find a new agent process.
+	adoptWithin = 400 * time.Millisecond
+	beat        = 100 * time.Millisecond
+	idleBeat    = 500 * time.Millisecond
+	// queueLimit is some four rounds of a full worker.
+	queueLimit = 64
+	lateFactor = 1.5
+	// drainReserve is kept back from the grace.
+	drainReserve = time.Second
+)
+
+func superviseSettings(file *boot.File) runner.Settings {
+	return runner.Settings{
+		Name: file.Name, Seeds: file.EntrySeeds(), DrainTimeout: file.Grace() - drainReserve,
+		Core: core.Settings{
+			OwnerLease: file.OwnerLease(), WorkerLease: file.WorkerLease(), LookWait: lookWait,
+			AdoptWithin: adoptWithin, QueueLimit: queueLimit, Beat: beat, IdleBeat: idleBeat, LateFactor: lateFactor,
+		},
+	}
+}
--- /dev/null
+++ b/cmd/peridotpick/dispatch.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpick.example/common/logs"
+	core "peridotpick.example/core/batch"
+	"peridotpick.example/platform/boot"
+	"peridotpick.example/platform/ingress"
+	"peridotpick.example/platform/store"
+	"peridotpick.example/service/batch"
+	"peridotpick.example/service/transport"
+)
+
+func dispatchCommand() *cli.Command {
+	return &cli.Command{
+		Name: "dispatch", Usage: "run an entry on the users' platform, until SIGTERM",
+		Description: "Reads the platform's settings file, whose path is in " + boot.PathVariable + ".",
+		Action:      runDispatch,
+	}
+}
+
+func runDispatch(ctx context.Context, _ *cli.Command) error {
+	file, err := boot.Load()
+	if err != nil {
+		return err
+	}
+	sink := logs.New(os.Stdout, zerolog.InfoLevel)
+	defer func() { _ = sink.Close() }()
+	e, err := batch.New(dispatchSettings(file), batch.Deps{
+		Logs: sink, Transport: transport.New(nil), Store: store.New(file.Platform.Address),
+	})
+	if err != nil {
+		return err
+	}
+	callers := ingress.New(e, sink.For(logs.HTTP))
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, _ := errgroup.WithContext(work)
+	group.Go(func() error { return e.Run(work) })
+	group.Go(func() error {
+		defer stop()
+		return callers.Serve(ctx, file.Listen.Callers, file.Listen.Ready, file.Grace())
+	})
+	return group.Wait()
+}
+
+// Times of an entry that no settings name.
+const (
+	ownerBeat = 100 * time.Millisecond
+	idleBeat  = 500 * time.Millisecond
+	// silentAfter is three missed beats of an idle link.
+	silentAfter = 1600 * time.Millisecond
+	// stallLimit is several ticks of the loop, and below the lease.
+	stallLimit = 350 * time.Millisecond
+	settling   = 100 * time.Millisecond
+	// overhead is the way from and to a caller and to a worker and back.
+	overhead = 10 * time.Millisecond
+	// crossCost is the way to another data centre and back, in the two users'
+	// deployments 1 and 1.8 ms, with some margin against needless traffic.
+	crossCost = 4 * time.Millisecond
+)
+
+func dispatchSettings(file *boot.File) batch.Settings {
+	return batch.Settings{
+		Name: file.Name, Address: file.Internal(file.IP), Seeds: file.EntrySeeds(),
+		Core: core.Settings{
+			DataCentre: file.DataCentre, OwnerLease: file.OwnerLease(), WorkerLease: file.RunsOver(),
+			Beat: ownerBeat, IdleBeat: idleBeat, SilentAfter: silentAfter, StallLimit: stallLimit, Settling: settling,
+			RemoteFactor: file.Bounds.RemoteFactor, CrossCost: crossCost, Overhead: overhead,
+		},
+	}
+}
--- a/cmd/peridotpick/main.go
+++ b/cmd/peridotpick/main.go
@@ -18,6 +18,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	signal.Ignore(syscall.SIGHUP) // settings are read at the start; a changed file must not end the process
 	if err := newApp().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "peridotpick:", err)
 		stop()
@@ -30,7 +31,7 @@
 		Name:  "peridotpick",
 		Usage: "dispatcher for sub-second tasks",
 		Commands: []*cli.Command{
-			entryCommand(), checkCommand(), demoCommand(), jobCommand(), callCommand(),
+			entryCommand(), dispatchCommand(), checkCommand(), demoCommand(), jobCommand(), callCommand(),
 			workerCommand(), configCommand(), loadCommand(), capacityCommand(), platformCommand(), backendCommand(),
 		},
 	}
--- /dev/null
+++ b/core/batch/agents.go
@@ -0,0 +1,225 @@
+package batch
+
+import (
+	"time"
+
+	"peridotpick.example/common/room"
+	"peridotpick.example/wire/runs"
+)
+
+// agent is an agent with an open link, as this entry sees it.
+type agent struct {
+	link   LinkID
+	worker runs.Worker
+	// greeted is true once the runs that the entry believes to be there were sent.
+	greeted bool
+	load    runs.Load
+	loadAt  time.Time
+	heardAt time.Time
+	// clock is the newest reading of the agent's clock, received at clockAt.
+	clock   int64
+	clockAt time.Time
+	// sent counts the starts; inFlight are those the load does not include yet.
+	sent     uint64
+	inFlight []start
+	out      runs.ToAgent
+	dirty    bool
+	lastSent time.Time
+	runs     int
+	probedAt time.Time
+}
+
+// start is a start that the newest load does not include.
+type start struct {
+	seq  uint64
+	need room.Room
+}
+
+// lostAgent is an agent whose link broke.
+type lostAgent struct {
+	// overAt is when all runs of this entry there are certainly over.
+	overAt time.Time
+}
+
+// usable reports whether an agent may be given runs.
+func (a *agent) usable(now time.Time, silentAfter time.Duration) bool {
+	return a.greeted && a.worker.ID != "" && !a.worker.Draining && now.Sub(a.heardAt) < silentAfter
+}
+
+// free returns the room that is probably free, without what was sent meanwhile.
+func (a *agent) free() room.Room {
+	left := a.load.Free
+	for _, s := range a.inFlight {
+		left = left.Minus(s.need)
+	}
+	return left
+}
+
+// LinkUp opens a link to an agent.
+func (c *Core) LinkUp(now time.Time, id LinkID) {
+	c.Now(now)
+	c.agents[id] = &agent{link: id, heardAt: now}
+}
+
+// LinkDown closes a link. Runs there are in doubt until the agent is back or
+// their leases have passed.
+func (c *Core) LinkDown(now time.Time, id LinkID) {
+	c.Now(now)
+	a := c.agents[id]
+	if a == nil {
+		return
+	}
+	delete(c.agents, id)
+	if a.worker.Agent == "" {
+		return
+	}
+	over := a.lastSent.Add(c.settings.OwnerLease + c.settings.WorkerLease)
+	if old := c.lost[a.worker.Agent]; old == nil || old.overAt.Before(over) {
+		c.lost[a.worker.Agent] = &lostAgent{overAt: over}
+	}
+	c.note(Note{Event: "agent lost", Worker: a.worker.ID, Age: now.Sub(a.heardAt)})
+}
+
+// Receive handles a message of an agent.
+func (c *Core) Receive(now time.Time, id LinkID, msg *runs.ToEntry) {
+	c.Now(now)
+	a := c.agents[id]
+	if a == nil {
+		return
+	}
+	a.heardAt = now
+	if msg.Clock > a.clock {
+		a.clock = msg.Clock
+		a.clockAt = now
+	}
+	if msg.Worker != nil {
+		c.workerTold(a, msg.Worker)
+	}
+	if msg.Load != nil {
+		a.takeLoad(now, msg.Load)
+	}
+	for _, p := range msg.Progress {
+		c.progressOf(p)
+	}
+	for i := range msg.Ends {
+		a.runs = max(a.runs-1, 0)
+		c.endOf(a.worker.ID, msg.Ends[i])
+	}
+	if msg.Load != nil || msg.Worker != nil {
+		c.placeWaiting()
+	}
+}
+
+func (a *agent) takeLoad(now time.Time, load *runs.Load) {
+	a.load = *load
+	a.loadAt = now
+	for len(a.inFlight) > 0 && a.inFlight[0].seq <= load.Seen {
+		a.inFlight = a.inFlight[1:]
+	}
+}
+
+// workerTold takes what an agent says of its worker. The first time, the entry
+// tells the agent which runs it believes to be there.
+func (c *Core) workerTold(a *agent, w *runs.Worker) {
+	a.worker = *w
+	c.note(Note{Event: "worker", Worker: w.ID, Reason: drainingWord(w.Draining)})
+	if a.greeted {
+		return
+	}
+	a.greeted = true
+	a.dirty = true
+	c.closeFormer(a)
+	a.out.Owned = []runs.Owned{}
+	for _, t := range c.byTask {
+		if t.state == taskPlaced && t.agent == w.Agent {
+			a.out.Owned = append(a.out.Owned, runs.Owned{Key: t.key(), Need: t.step.Need, Estimate: t.step.estimate})
+			t.on = a.link
+			a.runs++
+			t.stopping = false
+			if t.job.ended {
+				c.stop(t)
+			}
+		}
+	}
+	delete(c.lost, w.Agent)
+}
+
+// closeFormer closes an older link of the same agent, which has gone silent.
+func (c *Core) closeFormer(a *agent) {
+	for id, other := range c.agents {
+		if other != a && other.worker.Agent == a.worker.Agent {
+			delete(c.agents, id)
+			c.out.Closes = append(c.out.Closes, id)
+		}
+	}
+}
+
+func drainingWord(draining bool) string {
+	if draining {
+		return "draining"
+	}
+	return ""
+}
+
+// expireLost ends the runs at lost agents whose leases have passed.
+func (c *Core) expireLost() {
+	for name, l := range c.lost {
+		if c.now.Before(l.overAt) {
+			continue
+		}
+		delete(c.lost, name)
+		for _, t := range c.tasksAt(name) {
+			c.endOf(t.worker, runs.End{Key: t.key(), How: runs.Gone})
+		}
+	}
+}
+
+func (c *Core) tasksAt(agentName string) []*task {
+	var list []*task
+	for _, t := range c.byTask {
+		if t.state == taskPlaced && t.agent == agentName {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// flushAgent sends what has gathered for an agent, or a heartbeat.
+func (c *Core) flushAgent(a *agent) {
+	if a.clock == 0 {
+		return // nothing may be sent before the agent's clock is known
+	}
+	beat := c.settings.IdleBeat
+	if a.runs > 0 {
+		beat = c.settings.Beat
+	}
+	if !a.dirty && c.now.Sub(a.lastSent) < beat {
+		return
+	}
+	msg := a.out
+	msg.Clock = a.clock + int64(c.now.Sub(a.clockAt))
+	a.out = runs.ToAgent{}
+	a.dirty = false
+	a.lastSent = c.now
+	c.out.Sends = append(c.out.Sends, Send{Link: a.link, Msg: &msg})
+}
+
+// stop has the run of a task end.
+func (c *Core) stop(t *task) {
+	a := c.agents[t.on]
+	if t.stopping || a == nil {
+		return
+	}
+	t.stopping = true
+	a.out.Stops = append(a.out.Stops, t.key())
+	a.dirty = true
+}
+
+func (c *Core) progressOf(p runs.Progress) {
+	t := c.byTask[p.Key.Task]
+	if t == nil || t.state != taskPlaced || t.run != p.Key.Run {
+		return
+	}
+	t.slow = true
+	t.remaining = p.Remaining
+}
--- /dev/null
+++ b/core/batch/core.go
@@ -0,0 +1,215 @@
+// Package batch is the decision core of an entry that serves jobs whose answer
+// is awaited on the open connection: it admits or refuses a job, places its tasks
+// on leased workers, replaces runs that did not end well, and answers once.
+//
+// The core is deterministic: events and time go in, an Output with messages and
+// answers comes out. It has no clock, socket, goroutine or log.
+//
+// Nothing about these jobs is stored. If the entry is lost, so is the job: its
+// runs end with the entry's lease, before the caller sends the job again.
+//
+// Edge cases:
+//   - A run is replaced only after its agent has said that it is over, or after
+//     both the entry's lease at the agent and the worker's lease have passed.
+//   - A refusal as "not run" is given only if every start of the job was proved
+//     not to have begun.
+//   - An entry that was suspended for longer than its leases ends all its jobs:
+//     their runs are over and their callers may have come back elsewhere.
+package batch
+
+import (
+	"time"
+
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/common/room"
+	"peridotpick.example/core/catalog"
+	"peridotpick.example/wire/runs"
+)
+
+// Settings of a core.
+type Settings struct {
+	// DataCentre is the entry's own.
+	DataCentre string
+	// OwnerLease is the lease that each message grants at an agent.
+	OwnerLease time.Duration
+	// WorkerLease bounds how long a worker runs on without its agent, all included.
+	WorkerLease time.Duration
+	// Beat is the longest silence towards an agent with runs, IdleBeat towards others.
+	Beat, IdleBeat time.Duration
+	// SilentAfter is the silence of an agent after which it gets no new runs.
+	SilentAfter time.Duration
+	// StallLimit is the gap between two events after which the entry must have
+	// been suspended.
+	StallLimit time.Duration
+	// Settling is how long new jobs are refused after a suspension, since what is
+	// read then may have been sent long before.
+	Settling time.Duration
+	// RemoteFactor is how many times longer a task takes away from its data.
+	RemoteFactor float64
+	// CrossCost is the time that a data centre's border adds to a start and its end.
+	CrossCost time.Duration
+	// Overhead is the part of the objective that messages and the worker's start take.
+	Overhead time.Duration
+}
+
+// RequestID names one awaited answer.
+type RequestID uint64
+
+// LinkID names one link to an agent.
+type LinkID uint64
+
+// Step is a number of like tasks of a job.
+type Step struct {
+	Count int
+	Need  room.Room
+	// Estimate is the declared run time of one task.
+	Estimate time.Duration
+	// After are the steps that must be done before.
+	After []int
+	// Requires is a label that the worker must have; empty if any will do.
+	Requires string
+	// DataRack is the rack of the step's data; empty if there is none.
+	DataRack string
+	// AntiAffinity bounds the step's tasks on one worker; 0 if unbounded.
+	AntiAffinity int
+}
+
+// Request hands a job in.
+type Request struct {
+	ID RequestID
+	// Job is the caller's name for the job.
+	Job   string
+	Queue *catalog.Queue
+	// Version is that of the configuration in force.
+	Version uint64
+	Spec    string
+	Steps   []Step
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// Answer ends a request.
+type Answer struct {
+	Request RequestID
+	Kind    errkind.Kind
+	// RetryAfter tells the caller of a refusal when to come back.
+	RetryAfter time.Duration
+}
+
+// Send is a message to an agent.
+type Send struct {
+	Link LinkID
+	Msg  *runs.ToAgent
+}
+
+// Output is what the core wants done.
+type Output struct {
+	Sends   []Send
+	Answers []Answer
+	// Closes are links that another one has replaced.
+	Closes []LinkID
+	Notes  []Note
+}
+
+// Note is one decision for the log.
+type Note struct {
+	Event   string
+	Job     string
+	Queue   string
+	Version uint64
+	Key     runs.Key
+	Worker  string
+	How     runs.How
+	Reason  string
+	// Age is the age of the load that decided, Expected the time that was expected.
+	Age, Expected time.Duration
+}
+
+// Core is the state of one entry.
+type Core struct {
+	settings Settings
+	agents   map[LinkID]*agent
+	// lost are agents whose link broke and whose runs may still go on.
+	lost map[string]*lostAgent
+	jobs map[string]*job
+	// byRequest finds the job of an awaited answer.
+	byRequest map[RequestID]*job
+	// byTask finds the job of a task.
+	byTask       map[string]*task
+	learn        estimates
+	settledAt    time.Time
+	now          time.Time
+	drainingSelf bool
+	out          Output
+}
+
+// New returns a core without agents.
+func New(s Settings) *Core {
+	return &Core{
+		settings: s, agents: make(map[LinkID]*agent), lost: make(map[string]*lostAgent), jobs: make(map[string]*job),
+		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), learn: newEstimates(),
+	}
+}
+
+// Now tells the core the time before other events, so that it sees a suspension.
+func (c *Core) Now(now time.Time) {
+	gap := now.Sub(c.now)
+	suspended := !c.now.IsZero() && gap > c.settings.StallLimit
+	c.now = now
+	if suspended {
+		c.resume(gap)
+	}
+}
+
+// resume handles that the entry was suspended.
+func (c *Core) resume(gap time.Duration) {
+	c.settledAt = c.now.Add(c.settings.Settling)
+	c.note(Note{Event: "suspended", Age: gap})
+	if gap < c.settings.OwnerLease {
+		return
+	}
+	for _, j := range c.jobs {
+		c.giveUp(j, errkind.FateUnknown, "suspended")
+	}
+}
+
+// Flush returns what the events since the last call ask for.
+func (c *Core) Flush(now time.Time) Output {
+	c.Now(now)
+	for _, a := range c.agents {
+		c.flushAgent(a)
+	}
+	out := c.out
+	c.out = Output{}
+	return out
+}
+
+// Tick handles the passing of time.
+func (c *Core) Tick(now time.Time) {
+	c.Now(now)
+	c.expireLost()
+	for _, j := range c.jobs {
+		c.checkDeadline(j)
+	}
+	c.placeWaiting()
+	c.moveSlow()
+}
+
+// Jobs returns the number of jobs that are not answered yet.
+func (c *Core) Jobs() int { return len(c.byRequest) }
+
+// Workers returns the number of workers that can be given work.
+func (c *Core) Workers() int {
+	n := 0
+	for _, a := range c.agents {
+		if a.usable(c.now, c.settings.SilentAfter) {
+			n++
+		}
+	}
+	return n
+}
+
+// Drain refuses new jobs for which nothing was started.
+func (c *Core) Drain() { c.drainingSelf = true }
+
+func (c *Core) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
--- /dev/null
+++ b/core/batch/job.go
@@ -0,0 +1,341 @@
+package batch
+
+import (
+	"strconv"
+	"time"
+
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/catalog"
+	"peridotpick.example/wire/runs"
+)
+
+// job is a submission whose answer is awaited.
+type job struct {
+	name     string
+	queue    *catalog.Queue
+	version  uint64
+	spec     string
+	steps    []step
+	requests []RequestID
+	arrived  time.Time
+	deadline time.Time
+	// objective is the time from arrival within which it should end.
+	objective time.Duration
+	// begun is true once a start may have taken effect.
+	begun bool
+	// ended jobs are answered; they wait for their runs to be over.
+	ended bool
+	left  int
+}
+
+// step is a Step with its tasks.
+type step struct {
+	Step
+	// estimate is the run time expected of one task.
+	estimate time.Duration
+	tasks    []*task
+	left     int
+}
+
+// task is one task of a job.
+type task struct {
+	job   *job
+	step  *step
+	name  string
+	state taskState
+	// run numbers the task's starts.
+	run uint32
+	// on is where the present run was sent to.
+	on       LinkID
+	agent    string
+	worker   string
+	sentAt   time.Time
+	expected time.Duration
+	// slow is set while its agent reports that it takes too long.
+	slow      bool
+	remaining time.Duration
+	stopping  bool
+	// failedOn are the workers on which it failed.
+	failedOn map[string]int
+	failures int
+	// refusedBy are the workers that refused it, with their number of refusals.
+	refusedBy map[string]int
+}
+
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	taskPlaced
+	taskDone
+)
+
+func (t *task) key() runs.Key { return runs.Key{Task: t.name, Run: t.run} }
+
+// oldRunStep is how far the number of a run is raised when the worker has seen
+// a higher one, of the same job sent to another entry before.
+const oldRunStep = 16
+
+// Submit handles a new job, or one that was sent again.
+func (c *Core) Submit(now time.Time, r *Request) {
+	c.Now(now)
+	if old := c.jobs[r.Job]; old != nil {
+		c.attach(old, r)
+		return
+	}
+	if now.Before(c.settledAt) || c.drainingSelf {
+		c.refuse(r.ID, refusal{errkind.Draining, "settling", retrySoon})
+		return
+	}
+	j := c.newJob(r)
+	plan, refused := c.admit(j)
+	if refused != nil {
+		c.refuse(r.ID, *refused)
+		c.note(Note{Event: "refuse", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: refused.reason, Expected: plan.delay, Age: plan.age})
+		return
+	}
+	c.jobs[j.name] = j
+	c.byRequest[r.ID] = j
+	for i := range j.steps {
+		for _, t := range j.steps[i].tasks {
+			c.byTask[t.name] = t
+		}
+	}
+	c.note(Note{Event: "admit", Job: j.name, Queue: j.queue.Name, Version: j.version, Expected: plan.delay, Age: plan.age})
+	c.carryOut(plan)
+}
+
+// attach makes a repeated submission wait for the job that is here. One that was
+// ended goes on: tasks that are being stopped start anew once they are over.
+func (c *Core) attach(j *job, r *Request) {
+	j.requests = append(j.requests, r.ID)
+	c.byRequest[r.ID] = j
+	j.deadline = r.Deadline
+	if j.ended {
+		j.ended = false
+		j.arrived = c.now
+	}
+	c.note(Note{Event: "attach", Job: j.name, Queue: j.queue.Name, Version: j.version})
+	c.placeJob(j)
+}
+
+func (c *Core) newJob(r *Request) *job {
+	j := &job{
+		name: r.Job, queue: r.Queue, version: r.Version, spec: r.Spec, requests: []RequestID{r.ID},
+		arrived: c.now, deadline: r.Deadline, steps: make([]step, len(r.Steps)),
+	}
+	for i := range r.Steps {
+		s := &j.steps[i]
+		s.Step = r.Steps[i]
+		s.estimate = c.learn.expect(j.queue.Name, s.Estimate)
+		s.left = s.Count
+		j.left += s.Count
+		for n := range s.Count {
+			s.tasks = append(s.tasks, &task{job: j, step: s, name: taskName(r.Job, i, n)})
+		}
+	}
+	j.objective = j.queue.Objective(j.chain())
+	return j
+}
+
+// taskName returns the name of a task of a job that runs once.
+func taskName(job string, step, index int) string {
+	return job + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
+}
+
+// chain returns the longest chain of estimated work.
+func (j *job) chain() time.Duration {
+	ends := make([]time.Duration, len(j.steps))
+	var longest time.Duration
+	for i := range j.steps {
+		var start time.Duration
+		for _, before := range j.steps[i].After {
+			start = max(start, ends[before])
+		}
+		ends[i] = start + j.steps[i].estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// ready reports whether the tasks of a step may start.
+func (j *job) ready(s *step) bool {
+	for _, before := range s.After {
+		if j.steps[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel handles that the caller of a request has gone.
+func (c *Core) Cancel(now time.Time, id RequestID) {
+	c.Now(now)
+	j := c.byRequest[id]
+	if j == nil {
+		return
+	}
+	delete(c.byRequest, id)
+	for i, other := range j.requests {
+		if other == id {
+			j.requests = append(j.requests[:i], j.requests[i+1:]...)
+			break
+		}
+	}
+	if len(j.requests) == 0 {
+		c.note(Note{Event: "caller gone", Job: j.name, Queue: j.queue.Name, Version: j.version})
+		c.endJob(j)
+	}
+}
+
+// CancelJob ends a job by its name. It reports whether the job was here.
+func (c *Core) CancelJob(now time.Time, name string) bool {
+	c.Now(now)
+	j := c.jobs[name]
+	if j == nil || j.ended {
+		return false
+	}
+	c.giveUp(j, errkind.Canceled, "cancelled")
+	return true
+}
+
+// giveUp answers all requests of a job and ends it.
+func (c *Core) giveUp(j *job, kind errkind.Kind, reason string) {
+	if j.ended {
+		return
+	}
+	c.note(Note{Event: "give up", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: reason, Age: c.now.Sub(j.arrived)})
+	c.answer(j, kind)
+	c.endJob(j)
+}
+
+func (c *Core) answer(j *job, kind errkind.Kind) {
+	retryAfter := time.Duration(0)
+	if errkind.Of(kind).Retry {
+		retryAfter = retrySoon
+	}
+	for _, id := range j.requests {
+		delete(c.byRequest, id)
+		c.out.Answers = append(c.out.Answers, Answer{Request: id, Kind: kind, RetryAfter: retryAfter})
+	}
+	j.requests = nil
+}
+
+// endJob stops what runs of a job; the job is forgotten when all is over.
+func (c *Core) endJob(j *job) {
+	j.ended = true
+	for i := range j.steps {
+		for _, t := range j.steps[i].tasks {
+			if t.state == taskPlaced {
+				c.stop(t)
+			}
+		}
+	}
+	c.forgetIfOver(j)
+}
+
+func (c *Core) forgetIfOver(j *job) {
+	for i := range j.steps {
+		for _, t := range j.steps[i].tasks {
+			if t.state == taskPlaced {
+				return
+			}
+		}
+	}
+	delete(c.jobs, j.name)
+	for i := range j.steps {
+		for _, t := range j.steps[i].tasks {
+			delete(c.byTask, t.name)
+		}
+	}
+}
+
+// checkDeadline gives a job up whose caller has stopped waiting.
+func (c *Core) checkDeadline(j *job) {
+	if !j.ended && !c.now.Before(j.deadline) {
+		c.giveUp(j, c.lateKind(j), "deadline")
+	}
+}
+
+// lateKind is the answer to a job that has run out of time.
+func (c *Core) lateKind(j *job) errkind.Kind {
+	if j.begun {
+		return errkind.DeadlineExceeded
+	}
+	return errkind.Overloaded
+}
+
+// endOf handles the end of a run.
+func (c *Core) endOf(worker string, end runs.End) {
+	t := c.byTask[end.Key.Task]
+	if t == nil || t.state != taskPlaced || t.run != end.Key.Run {
+		return // of an earlier run or a job that is forgotten
+	}
+	j := t.job
+	c.note(Note{
+		Event: "end", Job: j.name, Queue: j.queue.Name, Version: j.version, Key: end.Key, Worker: worker,
+		How: end.How, Reason: end.Reason.String(), Age: c.now.Sub(t.sentAt), Expected: t.expected,
+	})
+	if end.How != runs.Refused {
+		j.begun = true
+	}
+	t.stopping = false
+	t.slow = false
+	if end.How == runs.Done {
+		c.taskDone(t, end)
+	} else {
+		t.state = taskWaiting
+		c.ranBadly(t, worker, end)
+	}
+	if j.ended {
+		c.forgetIfOver(j)
+		return
+	}
+	c.placeJob(j)
+}
+
+func (c *Core) taskDone(t *task, end runs.End) {
+	t.state = taskDone
+	t.step.left--
+	t.job.left--
+	if end.Ran > 0 {
+		c.learn.observe(t.job.queue.Name, t.step.Estimate, end.Ran)
+	}
+	if t.job.left == 0 && !t.job.ended {
+		c.note(Note{Event: "done", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Age: c.now.Sub(t.job.arrived), Expected: t.job.objective})
+		c.answer(t.job, errkind.OK)
+		t.job.ended = true
+	}
+}
+
+// ranBadly counts a run that did not complete its task.
+func (c *Core) ranBadly(t *task, worker string, end runs.End) {
+	switch end.How {
+	case runs.Failed:
+		c.taskFailed(t, worker)
+	case runs.Refused:
+		if t.refusedBy == nil {
+			t.refusedBy = make(map[string]int)
+		}
+		t.refusedBy[worker]++
+		if end.Reason == runs.OldRun {
+			t.run += oldRunStep
+		}
+	}
+}
+
+// taskFailed counts a failure of the task itself. Failures on a worker that
+// fails most of what it runs say nothing of the task.
+func (c *Core) taskFailed(t *task, worker string) {
+	if t.failedOn == nil {
+		t.failedOn = make(map[string]int)
+	}
+	t.failedOn[worker]++
+	if c.failing(worker) {
+		return
+	}
+	t.failures++
+	if t.failures >= t.job.queue.MaxAttempts {
+		c.giveUp(t.job, errkind.TaskFailed, "task failed")
+	}
+}
--- /dev/null
+++ b/core/batch/place.go
@@ -0,0 +1,324 @@
+package batch
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"peridotpick.example/common/room"
+	"peridotpick.example/wire/runs"
+)
+
+// plan says where tasks of a job go.
+type plan struct {
+	places []place
+	// delay is the longest expected time to a start, finish to an end.
+	delay, finish time.Duration
+	// age is that of the oldest load that decided.
+	age time.Duration
+	// missing counts tasks for which there is no worker.
+	missing int
+}
+
+type place struct {
+	task  *task
+	agent *agent
+	// wait is the expected time to the start, run that of the run.
+	wait, run time.Duration
+}
+
+// trial is what a plan has put on an agent so far.
+type trial struct {
+	used  room.Room
+	count map[*step]int
+}
+
+// planJob finds places for the tasks of a job that may start now.
+func (c *Core) planJob(j *job) plan {
+	var p plan
+	trials := make(map[LinkID]*trial)
+	candidates := c.candidates(j.queue.Service)
+	for i := range j.steps {
+		s := &j.steps[i]
+		if s.left == 0 || !j.ready(s) {
+			continue
+		}
+		for _, t := range s.tasks {
+			if t.state == taskWaiting {
+				c.planTask(&p, t, candidates, trials)
+			}
+		}
+	}
+	return p
+}
+
+// candidates returns the usable agents of a service in a fixed order.
+func (c *Core) candidates(service string) []*agent {
+	var list []*agent
+	for _, a := range c.agents {
+		if a.worker.Service == service && a.usable(c.now, c.settings.SilentAfter) {
+			list = append(list, a)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].link < list[j].link })
+	return list
+}
+
+func (c *Core) planTask(p *plan, t *task, candidates []*agent, trials map[LinkID]*trial) {
+	var best *agent
+	var bestWait, bestRun, bestCost time.Duration
+	var bestFree int
+	for _, a := range candidates {
+		tr := trials[a.link]
+		if tr == nil {
+			tr = &trial{count: make(map[*step]int)}
+			trials[a.link] = tr
+		}
+		if !c.allowed(t, a, tr) {
+			continue
+		}
+		free := a.free().Minus(tr.used)
+		wait := c.waitFor(a, free, t.step.Need)
+		run := c.runTime(a, t)
+		cost := c.cost(a, t, wait, run)
+		if best == nil || cost < bestCost || cost == bestCost && free.CPU > bestFree {
+			best, bestWait, bestRun, bestCost, bestFree = a, wait, run, cost, free.CPU
+		}
+	}
+	if best == nil {
+		p.missing++
+		return
+	}
+	tr := trials[best.link]
+	tr.used = tr.used.Plus(t.step.Need)
+	tr.count[t.step]++
+	p.places = append(p.places, place{task: t, agent: best, wait: bestWait, run: bestRun})
+	p.delay = max(p.delay, bestWait)
+	p.finish = max(p.finish, bestWait+bestRun)
+	p.age = max(p.age, c.now.Sub(best.loadAt))
+}
+
+// allowed reports whether a task may run on an agent's worker at all.
+func (c *Core) allowed(t *task, a *agent, tr *trial) bool {
+	s := t.step
+	if !a.worker.Capacity.Fits(s.Need) {
+		return false
+	}
+	if s.Requires != "" && !slices.Contains(a.worker.Labels, s.Requires) {
+		return false
+	}
+	if s.AntiAffinity > 0 && tr.count[s]+c.placedOn(s, a.link) >= s.AntiAffinity {
+		return false
+	}
+	return !c.shunned(a, tr)
+}
+
+func (c *Core) placedOn(s *step, id LinkID) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.state == taskPlaced && t.on == id {
+			n++
+		}
+	}
+	return n
+}
+
+// waitFor returns the expected time until an agent has room for a task.
+func (c *Core) waitFor(a *agent, free room.Room, need room.Room) time.Duration {
+	if free.Fits(need) {
+		return 0
+	}
+	age := c.now.Sub(a.loadAt)
+	cpu := free.CPU
+	last := time.Duration(0)
+	for _, f := range a.load.Freeings {
+		last = max(time.Duration(f.After)*time.Millisecond-age, minWait)
+		cpu += f.CPU
+		if cpu >= need.CPU {
+			return last
+		}
+	}
+	// Beyond the reported ends: room frees at the rate at which those freed it.
+	freed := max(cpu-free.CPU, need.CPU)
+	missing := need.CPU - cpu
+	return max(last, minWait) + time.Duration(float64(max(last, unknownWait))*float64(missing)/float64(freed))
+}
+
+const (
+	// minWait is the shortest wait for room that is not free by the newest load.
+	minWait = 2 * time.Millisecond
+	// unknownWait stands for the time to free room where no end is reported.
+	unknownWait = 100 * time.Millisecond
+)
+
+// runTime returns the expected run time of a task at an agent's worker.
+func (c *Core) runTime(a *agent, t *task) time.Duration {
+	run := time.Duration(float64(t.step.estimate) * c.relativeSlowness(a))
+	if t.step.DataRack != "" && !slices.Contains(a.worker.Labels, t.step.DataRack) {
+		run = time.Duration(float64(run) * c.settings.RemoteFactor)
+	}
+	return run
+}
+
+// cost is what the choice of a worker is judged by: the expected time to the
+// end. Workers on which the task has failed before come last.
+func (c *Core) cost(a *agent, t *task, wait, run time.Duration) time.Duration {
+	cost := wait + run
+	if a.worker.DataCentre != c.settings.DataCentre {
+		cost += c.settings.CrossCost
+	}
+	if t.failedOn[a.worker.ID] > 0 {
+		cost += failedBeforeCost
+	}
+	return cost + time.Duration(t.refusedBy[a.worker.ID])*refusedBeforeCost
+}
+
+// failedBeforeCost keeps a task away from a worker on which it failed, unless
+// there is no other.
+const failedBeforeCost = 10 * time.Second
+
+// refusedBeforeCost makes a task try other workers after a refusal, which the
+// newest load may not explain.
+const refusedBeforeCost = 50 * time.Millisecond
+
+// slowStep is the step in which slowness is compared: smaller differences are
+// within what the varying sizes of tasks make of it.
+const slowStep = 0.2
+
+// relativeSlowness compares a worker's run times with those of all.
+func (c *Core) relativeSlowness(a *agent) float64 {
+	if a.load.Slowness == 0 {
+		return 1
+	}
+	typical := c.typicalSlowness(a.worker.Service)
+	steps := int(float64(a.load.Slowness)/typical/slowStep + 0.5)
+	return max(float64(steps)*slowStep, 0.6)
+}
+
+// typicalSlowness returns the median over a service's workers.
+func (c *Core) typicalSlowness(service string) float64 {
+	var list []int
+	for _, a := range c.agents {
+		if a.worker.Service == service && a.load.Slowness > 0 {
+			list = append(list, a.load.Slowness)
+		}
+	}
+	if len(list) == 0 {
+		return 100
+	}
+	sort.Ints(list)
+	return float64(max(list[len(list)/2], 1))
+}
+
+// Limits on workers that fail what they start.
+const (
+	// failStreakLimit is the number of failures in a row after which a worker is
+	// taken to be the cause: single tasks fail far less often.
+	failStreakLimit = 2
+	// probeEvery is the time between tasks that try a failing worker again.
+	probeEvery = 700 * time.Millisecond
+)
+
+// shunned reports whether an agent's worker fails all it starts and is not due
+// for a try.
+func (c *Core) shunned(a *agent, tr *trial) bool {
+	if a.load.FailStreak < failStreakLimit {
+		return false
+	}
+	return c.now.Sub(a.probedAt) < probeEvery || tr.used != (room.Room{})
+}
+
+func (c *Core) failing(worker string) bool {
+	for _, a := range c.agents {
+		if a.worker.ID == worker {
+			return a.load.FailStreak >= failStreakLimit
+		}
+	}
+	return false
+}
+
+// carryOut sends the starts of a plan.
+func (c *Core) carryOut(p plan) {
+	for _, pl := range p.places {
+		c.start(pl)
+	}
+}
+
+func (c *Core) start(pl place) {
+	t, a, j := pl.task, pl.agent, pl.task.job
+	t.run++
+	t.state = taskPlaced
+	t.on = a.link
+	t.agent = a.worker.Agent
+	t.worker = a.worker.ID
+	t.sentAt = c.now
+	t.expected = pl.wait + pl.run
+	a.sent++
+	a.runs++
+	a.inFlight = append(a.inFlight, start{seq: a.sent, need: t.step.Need})
+	if a.load.FailStreak >= failStreakLimit {
+		a.probedAt = c.now
+	}
+	spent := c.now.Sub(j.arrived)
+	a.out.Starts = append(a.out.Starts, runs.Start{
+		Key: t.key(), Spec: j.spec, Need: t.step.Need, Estimate: t.step.estimate,
+		Slack: j.objective - spent - t.step.estimate, Patience: c.patience(j),
+	})
+	a.dirty = true
+	c.note(Note{
+		Event: "start", Job: j.name, Queue: j.queue.Name, Version: j.version, Key: t.key(), Worker: a.worker.ID,
+		Age: c.now.Sub(a.loadAt), Expected: t.expected,
+	})
+}
+
+// patience is how long a run of a job may wait for its start.
+func (c *Core) patience(j *job) time.Duration {
+	return min(j.deadline.Sub(c.now), lateFactor*j.objective-c.now.Sub(j.arrived))
+}
+
+// lateFactor times its objective is when a job's answer has lost its use.
+const lateFactor = 3
+
+// placeJob places the tasks of a job that wait, or gives the job up.
+func (c *Core) placeJob(j *job) {
+	if j.ended {
+		return
+	}
+	if !j.hasWaiting() {
+		return
+	}
+	if c.patience(j) <= 0 {
+		c.giveUp(j, c.lateKind(j), "no time left")
+		return
+	}
+	c.carryOut(c.planJob(j))
+}
+
+// placeWaiting places waiting tasks of all jobs, the most urgent jobs first.
+func (c *Core) placeWaiting() {
+	var waiting []*job
+	for _, j := range c.jobs {
+		if !j.ended && j.hasWaiting() {
+			waiting = append(waiting, j)
+		}
+	}
+	sort.Slice(waiting, func(i, k int) bool { return waiting[i].arrived.Before(waiting[k].arrived) })
+	for _, j := range waiting {
+		c.placeJob(j)
+	}
+}
+
+func (j *job) hasWaiting() bool {
+	for i := range j.steps {
+		s := &j.steps[i]
+		if s.left == 0 || !j.ready(s) {
+			continue
+		}
+		for _, t := range s.tasks {
+			if t.state == taskWaiting {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/runner/core.go
@@ -0,0 +1,300 @@
+// Package runner is the decision core of an agent that has tasks run on a leased
+// worker: it admits runs into the worker's room, orders starts and stops, keeps
+// the worker's lease, and tells entries how their runs ended.
+//
+// The core is deterministic: events and time go in, an Output with messages and
+// orders comes out. It has no clock, socket, goroutine or log.
+//
+// What keeps a task from running twice at a time:
+//   - A run occupies the worker from the moment its start is ordered until the
+//     worker lists its end, or until it certainly will not run: its stop was
+//     answered and a later listing does not show it, or the order's own deadline
+//     has passed on the worker's clock.
+//   - An entry hears of an end only then, and starts the task elsewhere only then.
+//   - Runs of an entry whose lease is over are stopped. When the agent itself
+//     cannot do so, the worker's lease ends them.
+//   - A new agent process takes a higher fencing token before it looks at what
+//     runs, so that no order of the former process has an effect afterwards.
+package runner
+
+import (
+	"time"
+
+	"peridotpick.example/common/room"
+	"peridotpick.example/wire/runs"
+)
+
+// Settings of a core.
+type Settings struct {
+	// OwnerLease is how long an entry's runs go on without a message of it.
+	OwnerLease time.Duration
+	// WorkerLease is the lease that each order and each look renews.
+	WorkerLease time.Duration
+	// LookWait is how long a look waits for an end.
+	LookWait time.Duration
+	// AdoptWithin is how long runs of a former agent process wait for their entry.
+	AdoptWithin time.Duration
+	// QueueLimit bounds the runs that wait for room.
+	QueueLimit int
+	// Beat is the longest silence on a link with runs, IdleBeat on others.
+	Beat, IdleBeat time.Duration
+	// LateFactor is how many times its estimate a run may take before its entry is
+	// told of its progress.
+	LateFactor float64
+}
+
+// LinkID names one link to an entry.
+type LinkID uint64
+
+// Send is a message to an entry.
+type Send struct {
+	Link LinkID
+	Msg  *runs.ToEntry
+}
+
+// Output is what the core wants done.
+type Output struct {
+	Sends  []Send
+	Orders []Order
+	// Notes are the decisions for the log.
+	Notes []Note
+}
+
+// Note is one decision about a run.
+type Note struct {
+	Event  string
+	Key    runs.Key
+	Entry  string
+	Reason runs.Reason
+	// Age is the age of the input that decided: the time since the run was
+	// ordered or since its owner was heard.
+	Age time.Duration
+}
+
+// link is one entry's link.
+type link struct {
+	id    LinkID
+	entry runs.Entry
+	// seen counts the starts received.
+	seen uint64
+	// out collects the next message.
+	out      runs.ToEntry
+	dirty    bool
+	lastSent time.Time
+}
+
+// Core is the state of one agent.
+type Core struct {
+	settings Settings
+	worker   workerState
+	links    map[LinkID]*link
+	// leases are the ends of owners' leases, by incarnation.
+	leases map[uint64]time.Time
+	runs   map[runs.Key]*run
+	queue  waiting
+	// pendingOwned are lists of owned runs that wait until the worker was looked at.
+	pendingOwned map[LinkID][]runs.Owned
+	recent       recentEnds
+	pace         pace
+	draining     bool
+	loadChanged  bool
+	now          time.Time
+	out          Output
+}
+
+// New returns a core without a worker.
+func New(s Settings) *Core {
+	return &Core{
+		settings: s, links: make(map[LinkID]*link), leases: make(map[uint64]time.Time),
+		runs: make(map[runs.Key]*run), pendingOwned: make(map[LinkID][]runs.Owned),
+		recent: newRecentEnds(),
+	}
+}
+
+// Flush returns what the events since the last call ask for.
+func (c *Core) Flush(now time.Time) Output {
+	c.now = now
+	c.startWaiting()
+	for _, l := range c.links {
+		c.flushLink(l)
+	}
+	c.loadChanged = false
+	out := c.out
+	c.out = Output{}
+	return out
+}
+
+func (c *Core) flushLink(l *link) {
+	quiet := c.now.Sub(l.lastSent)
+	beat := c.settings.IdleBeat
+	if c.owns(l.entry.Incarnation) {
+		beat = c.settings.Beat
+	}
+	if !l.dirty && !c.loadChanged && quiet < beat {
+		return
+	}
+	msg := l.out
+	msg.Clock = c.now.UnixNano()
+	msg.Load = c.load(l)
+	msg.Progress = c.progress(l.entry.Incarnation)
+	c.out.Sends = append(c.out.Sends, Send{Link: l.id, Msg: &msg})
+	l.out = runs.ToEntry{}
+	l.dirty = false
+	l.lastSent = c.now
+}
+
+// LinkUp opens a link after the entry's hello.
+func (c *Core) LinkUp(now time.Time, id LinkID, entry runs.Entry) {
+	c.now = now
+	c.dropFormer(entry)
+	l := &link{id: id, entry: entry}
+	c.links[id] = l
+	c.tellWorker(l)
+}
+
+// dropFormer stops the runs of a former incarnation of an entry.
+func (c *Core) dropFormer(entry runs.Entry) {
+	for _, r := range c.runs {
+		if r.owner.Address == entry.Address && r.owner.Incarnation != entry.Incarnation {
+			c.leases[r.owner.Incarnation] = time.Time{}
+		}
+	}
+	c.expireOwners()
+}
+
+// LinkDown closes a link. Its entry's runs go on until the lease is over.
+func (c *Core) LinkDown(now time.Time, id LinkID) {
+	c.now = now
+	delete(c.links, id)
+	delete(c.pendingOwned, id)
+}
+
+// Receive handles a message of an entry.
+func (c *Core) Receive(now time.Time, id LinkID, msg *runs.ToAgent) {
+	c.now = now
+	l := c.links[id]
+	if l == nil {
+		return
+	}
+	c.renew(l, msg.Clock)
+	if msg.Owned != nil {
+		c.pendingOwned[id] = msg.Owned
+		c.reconcile()
+	}
+	for i := range msg.Starts {
+		l.seen++
+		c.admit(l, &msg.Starts[i], msg.Clock)
+	}
+	for _, key := range msg.Stops {
+		c.stopAsked(l, key)
+	}
+}
+
+// renew lets the lease of a link's entry last from a reading of this agent's clock.
+func (c *Core) renew(l *link, reading int64) {
+	if reading == 0 {
+		return
+	}
+	until := time.Unix(0, reading).Add(c.settings.OwnerLease)
+	if until.After(c.leases[l.entry.Incarnation]) {
+		c.leases[l.entry.Incarnation] = until
+	}
+}
+
+func (c *Core) leased(entry runs.Entry) bool { return c.now.Before(c.leases[entry.Incarnation]) }
+
+// Tick handles the passing of time.
+func (c *Core) Tick(now time.Time) {
+	c.now = now
+	c.expireOwners()
+	c.expireWorker()
+	c.expireWaiting()
+	c.stopOrphans()
+	c.retryStops()
+	c.forgetLeases()
+}
+
+// expireOwners ends the runs of entries whose lease is over.
+func (c *Core) expireOwners() {
+	for _, r := range c.runs {
+		if r.orphan || c.leased(r.owner) {
+			continue
+		}
+		c.end(r, runs.NoLease)
+	}
+}
+
+// forgetLeases drops leases that are over and have no runs.
+func (c *Core) forgetLeases() {
+	for incarnation, until := range c.leases {
+		if c.now.After(until) && !c.owns(incarnation) {
+			delete(c.leases, incarnation)
+		}
+	}
+}
+
+func (c *Core) owns(incarnation uint64) bool {
+	for _, r := range c.runs {
+		if r.owner.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// Drain refuses all work that has not begun and all new work.
+func (c *Core) Drain(now time.Time) {
+	c.now = now
+	c.draining = true
+	c.refuseWaiting(runs.Draining)
+	c.workerChanged()
+}
+
+// Idle reports whether nothing runs.
+func (c *Core) Idle() bool { return len(c.runs) == 0 }
+
+// Busy reports whether the worker has to be looked at.
+func (c *Core) Busy() bool {
+	w := &c.worker
+	return w.known && (!w.synced || c.occupied() > 0 || w.acknowledged < w.lastSeen)
+}
+
+// occupied returns the number of runs that may be at the worker.
+func (c *Core) occupied() int {
+	n := 0
+	for _, r := range c.runs {
+		if r.phase != phaseWaiting {
+			n++
+		}
+	}
+	return n
+}
+
+// free returns the room that neither runs nor waiting runs take.
+func (c *Core) free() room.Room {
+	left := c.roomLeft()
+	for _, r := range c.queue {
+		left = left.Minus(r.need)
+	}
+	return left
+}
+
+// roomLeft returns the room that the runs at the worker leave.
+func (c *Core) roomLeft() room.Room {
+	left := c.worker.info.Capacity
+	for _, r := range c.runs {
+		switch {
+		case r.orphan:
+			return room.Room{} // its size is not known
+		case r.phase != phaseWaiting:
+			left = left.Minus(r.need)
+		}
+	}
+	return left
+}
+
+// Owes reports whether runs of a link's entry are here.
+func (c *Core) Owes(id LinkID) bool {
+	l := c.links[id]
+	return l != nil && c.owns(l.entry.Incarnation)
+}
--- /dev/null
+++ b/core/runner/pace.go
@@ -0,0 +1,107 @@
+package runner
+
+import (
+	"sort"
+	"time"
+
+	"peridotpick.example/wire/runs"
+)
+
+// pace measures how fast the worker is, from the runs that ended and from the
+// progress of those that run.
+type pace struct {
+	// ran and estimated are decaying sums over the ended runs, in seconds.
+	ran, estimated float64
+	failStreak     int
+}
+
+// paceDecay is the weight that the sums keep at each end: the last 20 runs count.
+const paceDecay = 0.95
+
+func (p *pace) ended(r *run, end runs.End) {
+	switch end.How {
+	case runs.Done:
+		p.failStreak = 0
+	case runs.Failed:
+		p.failStreak++
+	}
+	if end.How != runs.Done || r.start.Estimate <= 0 {
+		return
+	}
+	p.ran = p.ran*paceDecay + end.Ran.Seconds()
+	p.estimated = p.estimated*paceDecay + r.start.Estimate.Seconds()
+}
+
+// minProgress is the age at which the progress of a run tells something.
+const minProgress = 25 * time.Millisecond
+
+// slowness returns the ratio of run times to estimates, in hundredths; 0 if
+// nothing was measured. Runs that are under way count by their expected time, so
+// that a worker on which everything stands still shows within some 50 ms.
+func (c *Core) slowness() int {
+	ran, estimated := c.pace.ran, c.pace.estimated
+	for _, r := range c.runs {
+		if r.phase != phaseRunning || r.start.Estimate <= 0 || r.percentAt.Sub(r.confirmedAt) < minProgress {
+			continue
+		}
+		ran += c.total(r).Seconds()
+		estimated += r.start.Estimate.Seconds()
+	}
+	if estimated == 0 {
+		return 0
+	}
+	return int(100 * ran / estimated)
+}
+
+// total returns the expected run time of a run.
+func (c *Core) total(r *run) time.Duration {
+	atReading := r.percentAt.Sub(r.confirmedAt)
+	if atReading < minProgress {
+		return r.start.Estimate
+	}
+	return atReading * 100 / time.Duration(max(r.percent, 1))
+}
+
+// remaining returns the expected time to the end of a run; at least 1 ms.
+func (c *Core) remaining(r *run) time.Duration {
+	if r.phase != phaseRunning {
+		return max(r.start.Estimate, time.Millisecond)
+	}
+	return max(c.total(r)-c.now.Sub(r.confirmedAt), time.Millisecond)
+}
+
+// freeingsLimit bounds the expected ends that a load reports.
+const freeingsLimit = 12
+
+func (c *Core) load(l *link) *runs.Load {
+	return &runs.Load{
+		Free: c.free(), Freeings: c.freeings(), Slowness: c.slowness(),
+		FailStreak: c.pace.failStreak, Seen: l.seen,
+	}
+}
+
+// freeings returns the next expected ends, soonest first.
+func (c *Core) freeings() []runs.Freeing {
+	var list []runs.Freeing
+	for _, r := range c.runs {
+		if r.phase != phaseWaiting && !r.orphan {
+			list = append(list, runs.Freeing{After: int(c.remaining(r).Milliseconds()), CPU: r.need.CPU})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].After < list[j].After })
+	return list[:min(len(list), freeingsLimit)]
+}
+
+// progress lists an entry's runs that take much longer than estimated.
+func (c *Core) progress(incarnation uint64) []runs.Progress {
+	var list []runs.Progress
+	for _, r := range c.runs {
+		if r.owner.Incarnation != incarnation || r.phase != phaseRunning || r.orphan {
+			continue
+		}
+		if c.total(r) > time.Duration(float64(r.start.Estimate)*c.settings.LateFactor) {
+			list = append(list, runs.Progress{Key: r.key, Remaining: c.remaining(r)})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/core/runner/run.go
@@ -0,0 +1,256 @@
+package runner
+
+import (
+	"sort"
+	"time"
+
+	"peridotpick.example/common/room"
+	"peridotpick.example/wire/runs"
+)
+
+// phase is the state of a run.
+type phase uint8
+
+const (
+	// phaseWaiting: in the queue; the worker knows nothing of it.
+	phaseWaiting phase = iota
+	// phaseOrdered: the start was ordered and not answered yet.
+	phaseOrdered
+	// phaseRunning: the worker has confirmed it.
+	phaseRunning
+	// phaseDoubtful: the start got no answer; it may run now or later.
+	phaseDoubtful
+)
+
+// run is one run of a task.
+type run struct {
+	key   runs.Key
+	owner runs.Entry
+	start runs.Start
+	need  room.Room
+	phase phase
+	// orphan marks a run of a former agent process that no entry has claimed.
+	orphan bool
+	// startBy is when it should start to end in time; notAfter is when it must not
+	// start any more.
+	startBy, notAfter time.Time
+	orderedAt         time.Time
+	// orderDeadline is the deadline that the start order carried, on the worker's
+	// clock.
+	orderDeadline int64
+	// confirmedAt is when the worker first confirmed it.
+	confirmedAt time.Time
+	percent     int
+	percentAt   time.Time
+	// stopReason is set once it shall end. stopOrderedAt is when the last stop was
+	// ordered, stopAnsweredAt when one was answered.
+	stopReason     runs.Reason
+	stopOrderedAt  time.Time
+	stopAnsweredAt time.Time
+}
+
+// waiting is the queue of runs that wait for room, the most urgent first.
+type waiting []*run
+
+func (w *waiting) add(r *run) {
+	at := sort.Search(len(*w), func(i int) bool { return (*w)[i].startBy.After(r.startBy) })
+	*w = append(*w, nil)
+	copy((*w)[at+1:], (*w)[at:])
+	(*w)[at] = r
+}
+
+func (w *waiting) remove(r *run) {
+	for i, other := range *w {
+		if other == r {
+			*w = append((*w)[:i], (*w)[i+1:]...)
+			return
+		}
+	}
+}
+
+// admit takes a start into the queue or refuses it.
+func (c *Core) admit(l *link, s *runs.Start, sentAt int64) {
+	if c.runs[s.Key] != nil {
+		return // a repeated order
+	}
+	r := &run{
+		key: s.Key, owner: l.entry, start: *s, need: s.Need,
+		startBy: c.now.Add(s.Slack), notAfter: time.Unix(0, sentAt).Add(s.Patience),
+	}
+	c.loadChanged = true
+	if reason := c.refusal(r); reason != runs.NoReason {
+		c.finish(r, runs.End{Key: r.key, How: runs.Refused, Reason: reason})
+		return
+	}
+	c.runs[r.key] = r
+	c.queue.add(r)
+}
+
+// refusal returns why a run cannot be taken.
+func (c *Core) refusal(r *run) runs.Reason {
+	switch {
+	case c.draining || c.worker.info.Draining:
+		return runs.Draining
+	case !c.worker.synced:
+		return runs.NoWorker
+	case !c.leased(r.owner):
+		return runs.NoLease
+	case c.now.After(r.notAfter):
+		return runs.Late
+	case !c.worker.info.Capacity.Fits(r.need) || len(c.queue) >= c.settings.QueueLimit:
+		return runs.NoRoom
+	}
+	return runs.NoReason
+}
+
+// startWaiting orders the start of waiting runs that fit, the most urgent first.
+// A smaller run may pass one that does not fit, so that no room stays unused.
+func (c *Core) startWaiting() {
+	if len(c.queue) == 0 || !c.worker.synced {
+		return
+	}
+	left := c.roomLeft()
+	var still waiting
+	for _, r := range c.queue {
+		if !left.Fits(r.need) {
+			still = append(still, r)
+			continue
+		}
+		left = left.Minus(r.need)
+		c.order(r)
+	}
+	c.queue = still
+}
+
+// order has the worker start a run.
+func (c *Core) order(r *run) {
+	r.phase = phaseOrdered
+	r.orderedAt = c.now
+	r.orderDeadline = c.worker.deadline(c.now, c.settings.WorkerLease)
+	c.worker.promised(r.orderDeadline)
+	c.out.Orders = append(c.out.Orders, Order{
+		Kind: OrderStart, Key: r.key, Worker: c.worker.info.ID, Token: c.worker.token,
+		Deadline: r.orderDeadline, Spec: r.start.Spec, Checkpoint: r.start.Checkpoint,
+	})
+}
+
+// expireWaiting refuses waiting runs whose time has passed.
+func (c *Core) expireWaiting() {
+	for _, r := range append(waiting(nil), c.queue...) {
+		if c.now.After(r.notAfter) {
+			c.end(r, runs.Late)
+		}
+	}
+}
+
+func (c *Core) refuseWaiting(reason runs.Reason) {
+	for _, r := range append(waiting(nil), c.queue...) {
+		c.end(r, reason)
+	}
+}
+
+// end has a run end: a waiting one at once, others by a stop.
+func (c *Core) end(r *run, reason runs.Reason) {
+	if r.phase == phaseWaiting {
+		c.queue.remove(r)
+		c.finish(r, runs.End{Key: r.key, How: runs.Refused, Reason: reason})
+		return
+	}
+	if r.stopReason != runs.NoReason {
+		return
+	}
+	r.stopReason = reason
+	c.orderStop(r)
+}
+
+func (c *Core) orderStop(r *run) {
+	r.stopOrderedAt = c.now
+	c.out.Orders = append(c.out.Orders, Order{
+		Kind: OrderStop, Key: r.key, Worker: c.worker.info.ID, Token: c.worker.token,
+	})
+	c.note("stop", r, r.stopReason)
+}
+
+// stopAsked handles an entry's request to end a run.
+func (c *Core) stopAsked(l *link, key runs.Key) {
+	r := c.runs[key]
+	if r == nil {
+		c.answerUnknown(l, key)
+		return
+	}
+	if r.owner.Incarnation == l.entry.Incarnation {
+		c.end(r, runs.Asked)
+	}
+}
+
+// answerUnknown tells an entry how a run that is not here ended.
+func (c *Core) answerUnknown(l *link, key runs.Key) {
+	end, ok := c.recent.find(key)
+	if !ok {
+		end = runs.End{Key: key, How: runs.Gone}
+	}
+	l.out.Ends = append(l.out.Ends, end)
+	l.dirty = true
+}
+
+// retryStopAfter is the time after which a stop that has not ended its run is
+// ordered again. A stop takes some 50 ms at the worker.
+const retryStopAfter = 150 * time.Millisecond
+
+// retryStops repeats stops that have had no effect.
+func (c *Core) retryStops() {
+	for _, r := range c.runs {
+		if r.stopReason != runs.NoReason && c.now.Sub(r.stopOrderedAt) >= retryStopAfter {
+			c.orderStop(r)
+		}
+	}
+}
+
+// finish removes a run that is certainly over and tells its entry.
+func (c *Core) finish(r *run, end runs.End) {
+	delete(c.runs, r.key)
+	c.loadChanged = true
+	c.recent.add(end)
+	c.note("end "+end.How.String(), r, end.Reason)
+	for _, l := range c.links {
+		if l.entry.Incarnation == r.owner.Incarnation {
+			l.out.Ends = append(l.out.Ends, end)
+			l.dirty = true
+		}
+	}
+}
+
+func (c *Core) note(event string, r *run, reason runs.Reason) {
+	age := time.Duration(0)
+	if !r.orderedAt.IsZero() {
+		age = c.now.Sub(r.orderedAt)
+	}
+	c.out.Notes = append(c.out.Notes, Note{Event: event, Key: r.key, Entry: r.owner.Address, Reason: reason, Age: age})
+}
+
+// recentLimit bounds the remembered ends: some seconds of a busy worker.
+const recentLimit = 1024
+
+// recentEnds remembers ends for entries whose link broke before they heard.
+type recentEnds struct {
+	ends  map[runs.Key]runs.End
+	order []runs.Key
+}
+
+func newRecentEnds() recentEnds { return recentEnds{ends: make(map[runs.Key]runs.End)} }
+
+func (e *recentEnds) add(end runs.End) {
+	if _, known := e.ends[end.Key]; !known {
+		e.order = append(e.order, end.Key)
+	}
+	e.ends[end.Key] = end
+	if len(e.order) > recentLimit {
+		delete(e.ends, e.order[0])
+		e.order = e.order[1:]
+	}
+}
+
+func (e *recentEnds) find(key runs.Key) (runs.End, bool) {
+	end, ok := e.ends[key]
+	return end, ok
+}
--- /dev/null
+++ b/core/runner/worker.go
@@ -0,0 +1,204 @@
+package runner
+
+import (
+	"time"
+
+	"peridotpick.example/wire/runs"
+)
+
+// workerState is what the agent knows of the worker's present incarnation.
+type workerState struct {
+	info runs.Worker
+	// known: the incarnation has announced itself.
+	known bool
+	// synced: it was looked at with this process's token, so that all its runs
+	// are known and no order of a former process can have an effect.
+	synced   bool
+	syncedAt time.Time
+	token    int64
+	// lastSeen is the number of the newest end taken note of.
+	lastSeen int64
+	// acknowledged is the newest lastSeen that the worker has answered.
+	acknowledged int64
+	// clock is a reading of the worker's clock in ms, received at readAt.
+	clock  int64
+	readAt time.Time
+	// promisedUntil is the latest deadline ever sent, on the worker's clock.
+	promisedUntil int64
+	// former are incarnations that are over; announcements of them came late.
+	former map[string]bool
+}
+
+// clockDrift is how much slower than real time a worker's clock may run.
+const clockDrift = 0.02
+
+// read takes a reading of the worker's clock.
+func (w *workerState) read(now time.Time, clock int64) {
+	if clock > w.clock {
+		w.clock = clock
+		w.readAt = now
+	}
+}
+
+// earliest returns the lowest value that the worker's clock may show.
+func (w *workerState) earliest(now time.Time) int64 {
+	since := float64(now.Sub(w.readAt).Milliseconds()) * (1 - clockDrift)
+	return w.clock + int64(since)
+}
+
+// deadline returns the end of a lease from now on, on the worker's clock.
+func (w *workerState) deadline(now time.Time, lease time.Duration) int64 {
+	return w.earliest(now) + lease.Milliseconds()
+}
+
+func (w *workerState) promised(deadline int64) { w.promisedUntil = max(w.promisedUntil, deadline) }
+
+// Announced handles an announcement of the worker. It returns false if the
+// announcement is of an incarnation that is over.
+func (c *Core) Announced(now time.Time, info runs.Worker, clock int64) bool {
+	c.now = now
+	if c.worker.former[info.ID] {
+		return false
+	}
+	if !c.worker.known || c.worker.info.ID != info.ID {
+		c.replaceWorker(info, clock)
+		return true
+	}
+	c.worker.read(now, clock)
+	changed := info.Draining != c.worker.info.Draining || info.Capacity != c.worker.info.Capacity
+	c.worker.info = info
+	if changed {
+		if info.Draining {
+			c.refuseWaiting(runs.Draining)
+		}
+		c.workerChanged()
+	}
+	return true
+}
+
+// replaceWorker begins with a new incarnation. All runs of the former are over.
+func (c *Core) replaceWorker(info runs.Worker, clock int64) {
+	c.loseWorker()
+	c.worker = workerState{
+		info: info, known: true, token: clock, clock: clock, readAt: c.now, former: c.worker.former,
+	}
+	c.pace = pace{}
+	c.workerChanged()
+}
+
+// loseWorker ends all runs of the present incarnation, which is over.
+func (c *Core) loseWorker() {
+	if c.worker.former == nil {
+		c.worker.former = make(map[string]bool)
+	}
+	if c.worker.known {
+		c.worker.former[c.worker.info.ID] = true
+	}
+	c.endAll(runs.NoWorker)
+	c.worker.known = false
+	c.worker.synced = false
+	c.worker.info.ID = ""
+	c.workerChanged()
+}
+
+// endAll reports all runs as over: they are not at the worker any more.
+func (c *Core) endAll(reason runs.Reason) {
+	for _, r := range c.runs {
+		if r.phase == phaseWaiting {
+			c.queue.remove(r)
+			c.finish(r, runs.End{Key: r.key, How: runs.Refused, Reason: reason})
+			continue
+		}
+		c.finish(r, runs.End{Key: r.key, How: runs.Stopped, Reason: reason})
+	}
+}
+
+// Left handles the worker's word that an incarnation has ended.
+func (c *Core) Left(now time.Time, id string) {
+	c.now = now
+	if c.worker.known && c.worker.info.ID == id {
+		c.loseWorker()
+	}
+}
+
+// OtherIncarnation handles an answer by another incarnation than was meant: the
+// one meant is over.
+func (c *Core) OtherIncarnation(now time.Time, id string) { c.Left(now, id) }
+
+// expireWorker ends all runs once their lease has certainly passed on the
+// worker's clock; the worker must then be looked at anew.
+func (c *Core) expireWorker() {
+	if !c.worker.synced || c.occupied() == 0 {
+		return
+	}
+	if c.worker.earliest(c.now) <= c.worker.promisedUntil+stopGraceMillis {
+		return
+	}
+	c.worker.synced = false
+	c.endAll(runs.NoWorker)
+	c.workerChanged()
+}
+
+// stopGraceMillis is how long a worker may take to end a run, in ms.
+const stopGraceMillis = 50
+
+// workerChanged has all entries told of the worker.
+func (c *Core) workerChanged() {
+	c.loadChanged = true
+	for _, l := range c.links {
+		c.tellWorker(l)
+	}
+}
+
+func (c *Core) tellWorker(l *link) {
+	info := c.worker.info
+	info.Draining = info.Draining || c.draining
+	if !c.worker.synced {
+		info.ID = ""
+	}
+	l.out.Worker = &info
+	l.dirty = true
+}
+
+// reconcile answers entries what became of the runs that they believe to be here.
+func (c *Core) reconcile() {
+	if c.worker.known && !c.worker.synced {
+		return
+	}
+	if !c.worker.known && len(c.worker.former) == 0 {
+		return // a new process that has not heard of its worker cannot know
+	}
+	for id, owned := range c.pendingOwned {
+		delete(c.pendingOwned, id)
+		for _, o := range owned {
+			c.reconcileRun(c.links[id], o)
+		}
+	}
+}
+
+func (c *Core) reconcileRun(l *link, o runs.Owned) {
+	r := c.runs[o.Key]
+	switch {
+	case r == nil:
+		c.answerUnknown(l, o.Key)
+	case r.orphan:
+		r.orphan = false
+		r.owner = l.entry
+		r.need = o.Need
+		r.start.Estimate = o.Estimate
+		c.loadChanged = true
+		c.note("adopt", r, runs.NoReason)
+	}
+}
+
+// stopOrphans stops runs of a former process that no entry has claimed.
+func (c *Core) stopOrphans() {
+	if !c.worker.synced || c.now.Sub(c.worker.syncedAt) < c.settings.AdoptWithin {
+		return
+	}
+	for _, r := range c.runs {
+		if r.orphan {
+			c.end(r, runs.NoLease)
+		}
+	}
+}
--- /dev/null
+++ b/service/batch/config.go
@@ -0,0 +1,59 @@
+package batch
+
+import (
+	"context"
+	"time"
+)
+
+// configRetry is the pause after a failed look at the store; others pass the
+// configuration on meanwhile.
+const configRetry = 300 * time.Millisecond
+
+// followConfig takes each new version from the store.
+func (e *Entry) followConfig(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		doc, err := e.deps.Store.NextConfig(ctx)
+		if err != nil {
+			if !failing {
+				e.log.Warn().Err(err).Uint64("config", e.configVersion()).Msg("entry: the store does not give the configuration")
+			}
+			failing = true
+			select {
+			case <-time.After(configRetry):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if failing {
+			failing = false
+			e.log.Info().Uint64("config", e.configVersion()).Msg("entry: the store gives the configuration again")
+		}
+		if doc != nil {
+			e.adopt(doc, "store")
+		}
+	}
+	return nil
+}
+
+func (e *Entry) configVersion() uint64 {
+	if c := e.Catalog(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// adopt puts a version in force unless one as new is. It never goes back.
+func (e *Entry) adopt(doc *Document, from string) {
+	for {
+		old := e.config.Load()
+		if old != nil && old.Catalog.Version >= doc.Catalog.Version {
+			return
+		}
+		if e.config.CompareAndSwap(old, doc) {
+			break
+		}
+	}
+	e.log.Info().Uint64("config", doc.Catalog.Version).Str("from", from).Msg("entry: configuration in force")
+	e.peers.configChanged()
+}
--- /dev/null
+++ b/service/batch/entry.go
@@ -0,0 +1,291 @@
+// Package batch wires the decision core of an entry that serves awaited jobs to
+// sockets, timers and logs.
+//
+// Goroutines by duty: the loop owns the core; each agent's link has a reader and
+// a writer; each known entry has one that gossips; one follows the configuration.
+// They meet at bounded rings, and the loop never blocks on any of them.
+package batch
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpick.example/common/boottime"
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/common/logs"
+	core "peridotpick.example/core/batch"
+	"peridotpick.example/core/catalog"
+	"peridotpick.example/service/transport"
+	"peridotpick.example/wire/runs"
+)
+
+// Document is one version of the configuration as it is stored.
+type Document struct {
+	Raw     []byte
+	Catalog *catalog.Catalog
+}
+
+// Store keeps the configuration and the registry of entries.
+type Store interface {
+	// NextConfig waits for a configuration that this store value has not returned
+	// yet. It may return nil without an error if there is none after some time.
+	NextConfig(ctx context.Context) (*Document, error)
+	// Parse decodes a document that another entry has passed on.
+	Parse(raw []byte) (*Document, error)
+	// Register makes an entry known.
+	Register(ctx context.Context, e runs.Entry) error
+	// Entries lists the registered entries.
+	Entries(ctx context.Context) ([]runs.Entry, error)
+}
+
+// Deps are what an entry needs from outside.
+type Deps struct {
+	Logs      *logs.Sink
+	Transport *transport.Transport
+	Store     Store
+}
+
+// Settings of an entry.
+type Settings struct {
+	// Name is the entry's instance.
+	Name string
+	Core core.Settings
+	// Address is the IP:port for agents and entries.
+	Address string
+	// Seeds are IP:port of other entries; they may be stale.
+	Seeds []string
+}
+
+// Sizes of the rings.
+const (
+	eventRing = 8192
+	linkRing  = 1024
+)
+
+// Times of the loop.
+const (
+	// tickBusy is the granularity of deadlines while there are jobs.
+	tickBusy = 20 * time.Millisecond
+	// tickIdle is also far below the limit from which a gap counts as a suspension.
+	tickIdle = 100 * time.Millisecond
+)
+
+// event is something that happened, for the loop.
+type event func(c *core.Core, now time.Time)
+
+// Entry is one running entry.
+type Entry struct {
+	settings Settings
+	deps     Deps
+	log      zerolog.Logger
+	routeLog zerolog.Logger
+	self     runs.Entry
+	core     *core.Core
+	events   chan event
+	links    map[core.LinkID]*link
+	waiting  map[core.RequestID]chan core.Answer
+	nextID   atomic.Uint64
+	config   atomic.Pointer[Document]
+	peers    *peers
+	listener net.Listener
+	// workers is the number of workers that can be given work.
+	workers  atomic.Int64
+	draining atomic.Bool
+	work     context.Context
+	abort    context.CancelFunc
+}
+
+// New returns an entry that listens already; Run starts it.
+func New(s Settings, deps Deps) (*Entry, error) {
+	listener, err := deps.Transport.Listen(s.Address)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		settings: s, deps: deps, log: deps.Logs.For(logs.Entry), routeLog: deps.Logs.For(logs.Route),
+		self: runs.Entry{Address: s.Address, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.Core.DataCentre},
+		core: core.New(s.Core), events: make(chan event, eventRing), links: make(map[core.LinkID]*link),
+		waiting: make(map[core.RequestID]chan core.Answer), listener: listener,
+	}
+	e.work, e.abort = context.WithCancel(context.Background())
+	e.peers = newPeers(e)
+	return e, nil
+}
+
+// Run serves until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	e.log.Info().Str("entry", e.settings.Name).Str("address", e.self.Address).Uint64("incarnation", e.self.Incarnation).
+		Strs("seeds", e.settings.Seeds).Msg("entry: started")
+	defer e.abort()
+	group, work := errgroup.WithContext(e.work)
+	group.Go(func() error { return e.loop(work) })
+	group.Go(func() error { return transport.Serve(work, e.listener, runs.Handler{Server: e}) })
+	group.Go(func() error { return e.followConfig(work) })
+	group.Go(func() error { return e.peers.run(work) })
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+	}
+	e.abort()
+	err := group.Wait()
+	e.log.Info().Str("entry", e.settings.Name).Msg("entry: stopped")
+	return err
+}
+
+// Drain makes the entry report that it is not ready.
+func (e *Entry) Drain() {
+	e.draining.Store(true)
+	e.log.Info().Str("entry", e.settings.Name).Msg("entry: draining")
+}
+
+// Ready reports whether new connections should be sent to this entry.
+func (e *Entry) Ready() bool {
+	return e.config.Load() != nil && e.workers.Load() > 0 && !e.draining.Load()
+}
+
+// Catalog returns the configuration in force, or nil.
+func (e *Entry) Catalog() *catalog.Catalog {
+	if doc := e.config.Load(); doc != nil {
+		return doc.Catalog
+	}
+	return nil
+}
+
+// post hands an event to the loop, unless the entry has stopped.
+func (e *Entry) post(ev event) {
+	select {
+	case e.events <- ev:
+	case <-e.work.Done():
+	}
+}
+
+// loop owns the core.
+func (e *Entry) loop(ctx context.Context) error {
+	timer := time.NewTimer(tickIdle)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-e.events:
+			now := boottime.Now()
+			ev(e.core, now)
+			e.drainEvents(now)
+		case <-timer.C:
+			e.core.Tick(boottime.Now())
+		}
+		e.perform(e.core.Flush(boottime.Now()))
+		e.workers.Store(int64(e.core.Workers()))
+		timer.Reset(e.tick())
+	}
+}
+
+func (e *Entry) tick() time.Duration {
+	if e.core.Jobs() == 0 {
+		return tickIdle
+	}
+	return tickBusy
+}
+
+// eventBatch bounds the events taken before their output is carried out.
+const eventBatch = 64
+
+func (e *Entry) drainEvents(now time.Time) {
+	for range eventBatch {
+		select {
+		case ev := <-e.events:
+			ev(e.core, now)
+		default:
+			return
+		}
+	}
+}
+
+// perform carries out what the core asks for.
+func (e *Entry) perform(out core.Output) {
+	for _, id := range out.Closes {
+		if l := e.links[id]; l != nil {
+			l.stop()
+		}
+	}
+	for _, s := range out.Sends {
+		if l := e.links[s.Link]; l != nil {
+			l.enqueue(s.Msg)
+		}
+	}
+	for _, answer := range out.Answers {
+		if waiting := e.waiting[answer.Request]; waiting != nil {
+			delete(e.waiting, answer.Request)
+			waiting <- answer
+		}
+	}
+	e.logNotes(out.Notes)
+}
+
+func (e *Entry) logNotes(notes []core.Note) {
+	for i := range notes {
+		n := &notes[i]
+		line := e.routeLog.Info().Str("job", n.Job).Str("queue", n.Queue).Uint64("config", n.Version)
+		if n.Key.Task != "" {
+			line.Str("task", n.Key.Task).Uint32("run", n.Key.Run)
+		}
+		if n.How != 0 {
+			line.Stringer("how", n.How)
+		}
+		line.Str("worker", n.Worker).Str("reason", n.Reason).Dur("age", n.Age).Dur("expected", n.Expected).
+			Msg("route: " + n.Event)
+	}
+}
+
+// Submit hands a job in and waits for its answer, or until ctx ends because the
+// caller has gone.
+func (e *Entry) Submit(ctx context.Context, r core.Request, wait time.Duration) core.Answer {
+	r.ID = core.RequestID(e.nextID.Add(1))
+	waiting := make(chan core.Answer, 1)
+	e.post(func(c *core.Core, now time.Time) {
+		r.Deadline = now.Add(wait)
+		e.waiting[r.ID] = waiting
+		c.Submit(now, &r)
+	})
+	select {
+	case answer := <-waiting:
+		return answer
+	case <-ctx.Done():
+		e.post(func(c *core.Core, now time.Time) {
+			delete(e.waiting, r.ID)
+			c.Cancel(now, r.ID)
+		})
+		return core.Answer{Kind: errkind.Canceled}
+	case <-e.work.Done():
+		return core.Answer{Kind: errkind.FateUnknown}
+	}
+}
+
+// Cancel ends a job by its name. It reports whether the job was here.
+func (e *Entry) Cancel(name string) bool {
+	known := make(chan bool, 1)
+	e.post(func(c *core.Core, now time.Time) { known <- c.CancelJob(now, name) })
+	select {
+	case ok := <-known:
+		return ok
+	case <-e.work.Done():
+		return false
+	}
+}
+
+// Jobs returns the number of jobs that are not answered yet.
+func (e *Entry) Jobs() int {
+	n := make(chan int, 1)
+	e.post(func(c *core.Core, _ time.Time) { n <- c.Jobs() })
+	select {
+	case jobs := <-n:
+		return jobs
+	case <-e.work.Done():
+		return 0
+	}
+}
--- /dev/null
+++ b/service/runner/agent.go
@@ -0,0 +1,311 @@
+// Package runner wires the decision core of an agent on a leased worker to
+// sockets, timers and logs.
+//
+// Goroutines by duty: the loop owns the core; one looks at the worker; a few
+// carry orders to it; each entry has a connector with a reader and a writer. They
+// meet at bounded rings, and the loop never blocks on any of them.
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpick.example/common/boottime"
+	"peridotpick.example/common/logs"
+	core "peridotpick.example/core/runner"
+	"peridotpick.example/service/transport"
+	"peridotpick.example/wire/runs"
+)
+
+// Worker carries orders to the worker beside the agent. Its calls return within
+// a bounded time, also when the worker does not answer.
+type Worker interface {
+	Order(core.Order) core.Answer
+	Look(core.Look) (core.Answer, core.Listing)
+}
+
+// Registry lists entries for an agent that knows none.
+type Registry interface {
+	Entries(ctx context.Context) ([]runs.Entry, error)
+}
+
+// Deps are what an agent needs from outside.
+type Deps struct {
+	Logs      *logs.Sink
+	Transport *transport.Transport
+	Worker    Worker
+	Registry  Registry
+}
+
+// Settings of an agent.
+type Settings struct {
+	// Name is the agent's instance.
+	Name string
+	Core core.Settings
+	// Seeds are IP:port of entries; they may be stale.
+	Seeds []string
+	// DrainTimeout bounds the time that runs have to end at SIGTERM.
+	DrainTimeout time.Duration
+}
+
+// Sizes of the rings and numbers of goroutines.
+const (
+	eventRing  = 4096
+	orderRing  = 256
+	linkRing   = 1024
+	startLanes = 3
+)
+
+// Times of the loop.
+const (
+	// tickBusy is the granularity of leases while something runs.
+	tickBusy = 20 * time.Millisecond
+	// tickIdle keeps an idle agent's processor time low.
+	tickIdle = 200 * time.Millisecond
+	// lookPause is the pause after a look that got no answer.
+	lookPause = 5 * time.Millisecond
+	// drainPoll is how often a draining agent looks whether it is idle.
+	drainPoll = 20 * time.Millisecond
+	// leaveNotice is the time given to entries to learn that the agent leaves.
+	leaveNotice = 100 * time.Millisecond
+)
+
+// event is something that happened, for the loop.
+type event func(c *core.Core, now time.Time)
+
+// Agent is one running agent.
+type Agent struct {
+	settings Settings
+	deps     Deps
+	log      zerolog.Logger
+	core     *core.Core
+	events   chan event
+	starts   chan core.Order
+	stops    chan core.Order
+	lookNow  chan struct{}
+	links    map[core.LinkID]*link
+	dir      *directory
+	work     context.Context
+	abort    context.CancelFunc
+}
+
+// New returns an agent; Run starts it.
+func New(s Settings, deps Deps) *Agent {
+	a := &Agent{
+		settings: s, deps: deps, log: deps.Logs.For(logs.Agent), core: core.New(s.Core),
+		events: make(chan event, eventRing), starts: make(chan core.Order, orderRing),
+		stops: make(chan core.Order, orderRing), lookNow: make(chan struct{}, 1),
+		links: make(map[core.LinkID]*link),
+	}
+	a.work, a.abort = context.WithCancel(context.Background())
+	a.dir = newDirectory(a)
+	return a
+}
+
+// Run serves until ctx ends, then lets what runs end.
+func (a *Agent) Run(ctx context.Context) error {
+	a.log.Info().Str("agent", a.settings.Name).Strs("seeds", a.settings.Seeds).Msg("agent: started")
+	defer a.abort()
+	group, work := errgroup.WithContext(a.work)
+	group.Go(func() error { return a.loop(work) })
+	group.Go(func() error { return a.look(work) })
+	for range startLanes {
+		group.Go(func() error { return a.carry(work, a.starts) })
+	}
+	group.Go(func() error { return a.carry(work, a.stops) })
+	group.Go(func() error { return a.dir.run(work) })
+	select {
+	case <-ctx.Done():
+		a.drain(work)
+	case <-work.Done():
+	}
+	a.abort()
+	err := group.Wait()
+	a.log.Info().Str("agent", a.settings.Name).Msg("agent: stopped")
+	return err
+}
+
+func (a *Agent) drain(work context.Context) {
+	a.log.Info().Str("agent", a.settings.Name).Msg("agent: draining")
+	a.post(func(c *core.Core, now time.Time) { c.Drain(now) })
+	time.Sleep(leaveNotice)
+	deadline := time.Now().Add(a.settings.DrainTimeout)
+	idle := make(chan bool, 1)
+	for time.Now().Before(deadline) && work.Err() == nil {
+		a.post(func(c *core.Core, _ time.Time) { idle <- c.Idle() })
+		if <-idle {
+			time.Sleep(drainPoll) // the last ends are on their way
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+	a.log.Warn().Str("agent", a.settings.Name).Msg("agent: drain timed out, runs are left to their leases")
+}
+
+// Announced takes the worker's word about itself.
+func (a *Agent) Announced(info runs.Worker, clock int64) {
+	a.post(func(c *core.Core, now time.Time) {
+		if !c.Announced(now, info, clock) {
+			a.log.Warn().Str("worker", info.ID).Msg("agent: announcement of an incarnation that is over")
+		}
+	})
+}
+
+// Left takes the worker's word that an incarnation ends.
+func (a *Agent) Left(id string) {
+	a.log.Info().Str("worker", id).Msg("agent: worker left")
+	a.post(func(c *core.Core, now time.Time) { c.Left(now, id) })
+}
+
+// post hands an event to the loop, unless the agent has stopped.
+func (a *Agent) post(e event) {
+	select {
+	case a.events <- e:
+	case <-a.work.Done():
+	}
+}
+
+// loop owns the core.
+func (a *Agent) loop(ctx context.Context) error {
+	timer := time.NewTimer(tickIdle)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-a.events:
+			now := boottime.Now()
+			a.core.Tick(now) // leases are judged before anything else, also after a suspension
+			e(a.core, now)
+			a.drainEvents(now)
+		case <-timer.C:
+			a.core.Tick(boottime.Now())
+		}
+		a.perform(a.core.Flush(boottime.Now()))
+		a.wakeLooker()
+		timer.Reset(a.tick())
+	}
+}
+
+func (a *Agent) tick() time.Duration {
+	if a.core.Idle() {
+		return tickIdle
+	}
+	return tickBusy
+}
+
+// eventBatch bounds the events taken before their output is carried out.
+const eventBatch = 64
+
+func (a *Agent) drainEvents(now time.Time) {
+	for range eventBatch {
+		select {
+		case e := <-a.events:
+			e(a.core, now)
+		default:
+			return
+		}
+	}
+}
+
+func (a *Agent) wakeLooker() {
+	if !a.core.Busy() {
+		return
+	}
+	select {
+	case a.lookNow <- struct{}{}:
+	default:
+	}
+}
+
+// perform carries out what the core asks for.
+func (a *Agent) perform(out core.Output) {
+	for _, o := range out.Orders {
+		ring := a.starts
+		if o.Kind == core.OrderStop {
+			ring = a.stops
+		}
+		select {
+		case ring <- o:
+		default:
+			// Never sent: the worker certainly does nothing of it.
+			a.log.Warn().Str("task", o.Key.Task).Msg("agent: too many orders wait, one dropped")
+			a.answered(o, core.Answer{Verdict: core.RefusedOther})
+		}
+	}
+	for _, s := range out.Sends {
+		if l := a.links[s.Link]; l != nil {
+			l.enqueue(s.Msg)
+		}
+	}
+	for i := range out.Notes {
+		n := &out.Notes[i]
+		a.log.Info().Str("task", n.Key.Task).Uint32("run", n.Key.Run).Str("entry", n.Entry).
+			Stringer("reason", n.Reason).Dur("age", n.Age).Msg("agent: " + n.Event)
+	}
+}
+
+// answered reports the outcome of an order without waiting for the loop.
+func (a *Agent) answered(o core.Order, answer core.Answer) {
+	report := func(c *core.Core, now time.Time) { c.Ordered(now, o, answer) }
+	select {
+	case a.events <- report:
+	default:
+		go a.post(report)
+	}
+}
+
+// carry takes orders to the worker, one after the other.
+func (a *Agent) carry(ctx context.Context, orders <-chan core.Order) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case o := <-orders:
+			answer := a.deps.Worker.Order(o)
+			a.post(func(c *core.Core, now time.Time) { c.Ordered(now, o, answer) })
+		}
+	}
+}
+
+// look asks the worker what runs, as long as there is a need.
+func (a *Agent) look(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.lookNow:
+		}
+		look, ok := a.nextLook(ctx)
+		if !ok {
+			continue
+		}
+		answer, listing := a.deps.Worker.Look(look)
+		a.post(func(c *core.Core, now time.Time) { c.Looked(now, look, answer, listing) })
+		if answer.Verdict == core.NoAnswer {
+			a.log.Warn().Str("worker", look.Worker).Dur("wait", look.Wait).Msg("agent: the worker does not answer")
+			time.Sleep(lookPause)
+		}
+	}
+}
+
+func (a *Agent) nextLook(ctx context.Context) (core.Look, bool) {
+	type next struct {
+		look core.Look
+		ok   bool
+	}
+	answer := make(chan next, 1)
+	a.post(func(c *core.Core, now time.Time) {
+		look, ok := c.NextLook(now)
+		answer <- next{look, ok}
+	})
+	select {
+	case n := <-answer:
+		return n.look, n.ok
+	case <-ctx.Done():
+		return core.Look{}, false
+	}
+}
--- /dev/null
+++ b/wire/runs/messages.go
@@ -0,0 +1,223 @@
+// Package runs defines the messages of the link on which entries have tasks run
+// on leased workers, and the drpc service that carries it.
+//
+// An agent opens one link to each entry. Both ends first say who they are. Then
+// the entry sends starts and stops, the agent sends ends and its worker's load.
+//
+// Leases. An agent runs an entry's tasks only while it holds a lease of that
+// entry. Each message of the agent carries a reading of the agent's clock, and
+// each message of the entry the newest reading plus the time that passed at the
+// entry since it came: never more than the agent's clock showed when the entry
+// sent it. The lease lasts from there, so a message that was held up on the way
+// grants little or nothing, and an order is seen as old by the agent's own clock.
+//
+// Reconnecting. After each hello the entry sends the runs it believes the agent
+// has (Owned). The agent adopts those that run, and answers the others with an
+// end. A link that breaks therefore stops nothing before the lease is over.
+package runs
+
+import (
+	"time"
+
+	"peridotpick.example/common/room"
+)
+
+// Key names one run of a task.
+type Key struct {
+	// Task is the task's name, unique among all jobs.
+	Task string `cbor:"1,keyasint"`
+	// Run numbers the task's starts; it rises.
+	Run uint32 `cbor:"2,keyasint"`
+}
+
+// Entry names one incarnation of an entry.
+type Entry struct {
+	// Address is the IP:port at which agents and entries reach it.
+	Address string `cbor:"1,keyasint"`
+	// Incarnation is drawn anew at each start of the process; never 0.
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// DataCentre locates the entry.
+	DataCentre string `cbor:"3,keyasint"`
+}
+
+// Worker describes the worker beside an agent: one incarnation of a backend server.
+type Worker struct {
+	// ID names the incarnation of the backend server.
+	ID string `cbor:"1,keyasint"`
+	// Agent names the agent's instance.
+	Agent string `cbor:"2,keyasint"`
+	// Service is the service that the worker offers.
+	Service string `cbor:"3,keyasint"`
+	// DataCentre locates the worker.
+	DataCentre string `cbor:"4,keyasint"`
+	// Labels are the labels that a task may require, the rack among them.
+	Labels []string `cbor:"5,keyasint"`
+	// Capacity is the whole room of the worker.
+	Capacity room.Room `cbor:"6,keyasint"`
+	// Draining workers get no new work.
+	Draining bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Start asks for one run of a task.
+type Start struct {
+	Key  Key       `cbor:"1,keyasint"`
+	Spec string    `cbor:"2,keyasint"`
+	Need room.Room `cbor:"3,keyasint"`
+	// Estimate is the expected run time on a worker of ordinary speed.
+	Estimate time.Duration `cbor:"4,keyasint"`
+	// Slack is how long the run may wait for room and still end in time; runs
+	// with less slack go first.
+	Slack time.Duration `cbor:"5,keyasint"`
+	// Patience is the time from ToAgent.Clock after which the run must not start
+	// any more.
+	Patience time.Duration `cbor:"6,keyasint"`
+	// Checkpoint resumes an earlier run; empty if there is none.
+	Checkpoint string `cbor:"7,keyasint,omitempty"`
+}
+
+// Owned is a run that an entry believes an agent to have.
+type Owned struct {
+	Key      Key           `cbor:"1,keyasint"`
+	Need     room.Room     `cbor:"2,keyasint"`
+	Estimate time.Duration `cbor:"3,keyasint"`
+}
+
+// How tells how a run ended.
+type How uint8
+
+// Ends of a run.
+const (
+	// Done means that the task is complete.
+	Done How = iota + 1
+	// Failed means that the run failed, through the task or its worker.
+	Failed
+	// Stopped means that the run began and was stopped, or lost its lease.
+	Stopped
+	// Refused means that the run never began and never will.
+	Refused
+	// Gone means that the run is over and nothing more is known of it.
+	Gone
+)
+
+// String returns the name of h in logs.
+func (h How) String() string {
+	names := [...]string{"unknown", "done", "failed", "stopped", "refused", "gone"}
+	if int(h) < len(names) {
+		return names[h]
+	}
+	return names[0]
+}
+
+// Reason tells why a run was refused or stopped.
+type Reason uint8
+
+// Reasons.
+const (
+	NoReason Reason = iota
+	// NoRoom: the agent's queue has no room for the run in its time.
+	NoRoom
+	// Late: the order arrived, or its turn came, after its patience.
+	Late
+	// NoLease: the agent holds no lease of the entry.
+	NoLease
+	// Draining: the worker or its agent is leaving.
+	Draining
+	// NoWorker: the worker is not known yet, gone, or out of reach.
+	NoWorker
+	// Unhealthy: the worker refused the order.
+	Unhealthy
+	// OldRun: the worker has seen this or a higher run of the task.
+	OldRun
+	// Asked: the entry asked for the stop.
+	Asked
+	// Unanswered: the order got no answer and was withdrawn.
+	Unanswered
+)
+
+// String returns the name of r in logs.
+func (r Reason) String() string {
+	names := [...]string{"", "no-room", "late", "no-lease", "draining", "no-worker", "unhealthy", "old-run", "asked", "unanswered"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
+// End ends one run: it is not running now and will not run later.
+type End struct {
+	Key    Key           `cbor:"1,keyasint"`
+	How    How           `cbor:"2,keyasint"`
+	Reason Reason        `cbor:"3,keyasint,omitempty"`
+	Ran    time.Duration `cbor:"4,keyasint,omitempty"`
+	// Checkpoint is the progress that a later run may resume from.
+	Checkpoint string `cbor:"5,keyasint,omitempty"`
+}
+
+// Freeing is an expected change of a worker's room.
+type Freeing struct {
+	// After is the time from the sending of the load, in ms.
+	After int `cbor:"1,keyasint"`
+	// CPU is the processor room that becomes free then.
+	CPU int `cbor:"2,keyasint"`
+}
+
+// Load describes how busy a worker is at the time of sending.
+type Load struct {
+	// Free is the room that neither runs nor waiting runs take; it may be
+	// negative in CPU by what waits.
+	Free room.Room `cbor:"1,keyasint"`
+	// Freeings are the next expected ends, soonest first.
+	Freeings []Freeing `cbor:"2,keyasint,omitempty"`
+	// Slowness is the measured ratio of run times to their estimates, in
+	// hundredths; 0 if nothing was measured.
+	Slowness int `cbor:"3,keyasint,omitempty"`
+	// FailStreak is the number of runs that failed in a row.
+	FailStreak int `cbor:"4,keyasint,omitempty"`
+	// Seen is the number of starts of the receiver that the load includes.
+	Seen uint64 `cbor:"5,keyasint"`
+}
+
+// Progress reports a run that takes longer than was estimated.
+type Progress struct {
+	Key Key `cbor:"1,keyasint"`
+	// Remaining is the expected time to its end; Remaining of a run that stands
+	// still grows.
+	Remaining time.Duration `cbor:"2,keyasint"`
+}
+
+// ToEntry is one message from an agent to an entry.
+type ToEntry struct {
+	// Worker is sent first and after each change. It has no ID while the backend
+	// server has not announced itself.
+	Worker *Worker `cbor:"1,keyasint,omitempty"`
+	Ends   []End   `cbor:"2,keyasint,omitempty"`
+	Load   *Load   `cbor:"3,keyasint,omitempty"`
+	// Clock is the agent's clock at the time of sending, in nanoseconds.
+	Clock    int64      `cbor:"4,keyasint"`
+	Progress []Progress `cbor:"5,keyasint,omitempty"`
+}
+
+// ToAgent is one message from an entry to an agent.
+type ToAgent struct {
+	// Hello is sent first.
+	Hello *Entry `cbor:"1,keyasint,omitempty"`
+	// Owned follows the hello.
+	Owned  []Owned `cbor:"2,keyasint,omitempty"`
+	Starts []Start `cbor:"3,keyasint,omitempty"`
+	Stops  []Key   `cbor:"4,keyasint,omitempty"`
+	// Clock is the newest ToEntry.Clock plus the time since its arrival, in
+	// nanoseconds; 0 before the first. It renews the lease.
+	Clock int64 `cbor:"5,keyasint,omitempty"`
+	// Entries are all entries known to be alive.
+	Entries []Entry `cbor:"6,keyasint,omitempty"`
+}
+
+// Gossip is what entries tell each other.
+type Gossip struct {
+	From    Entry   `cbor:"1,keyasint"`
+	Entries []Entry `cbor:"2,keyasint,omitempty"`
+	// ConfigVersion is the version in force at the sender; 0 if it has none.
+	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
+	// Config is the configuration, if the receiver's last known version is lower.
+	Config []byte `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/wire/runs/rpc.go
@@ -0,0 +1,86 @@
+package runs
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+
+	"peridotpick.example/wire"
+)
+
+// Names of the remote procedures.
+const (
+	rpcLink   = "/peridotpick.Runs/Link"
+	rpcGossip = "/peridotpick.Runs/Gossip"
+)
+
+// Server is implemented by an entry.
+type Server interface {
+	// Link serves one agent's link until either side closes it.
+	Link(stream EntryEnd) error
+	// Gossip serves another entry's stream until either side closes it.
+	Gossip(stream GossipEnd) error
+}
+
+// Handler dispatches an entry's remote procedures.
+type Handler struct{ Server Server }
+
+// HandleRPC implements drpc.Handler.
+func (h Handler) HandleRPC(stream drpc.Stream, rpc string) error {
+	switch rpc {
+	case rpcLink:
+		return h.Server.Link(EntryEnd{stream})
+	case rpcGossip:
+		return h.Server.Gossip(GossipEnd{stream})
+	}
+	return drpc.ProtocolError.New("unknown rpc: %q", rpc)
+}
+
+// OpenLink opens an agent's link to an entry.
+func OpenLink(ctx context.Context, conn drpc.Conn) (AgentEnd, error) {
+	stream, err := conn.NewStream(ctx, rpcLink, wire.Encoding)
+	return AgentEnd{stream}, eris.Wrap(err, "open link")
+}
+
+// OpenGossip opens a stream to another entry.
+func OpenGossip(ctx context.Context, conn drpc.Conn) (GossipEnd, error) {
+	stream, err := conn.NewStream(ctx, rpcGossip, wire.Encoding)
+	return GossipEnd{stream}, eris.Wrap(err, "open gossip")
+}
+
+// EntryEnd is the entry's end of a link.
+type EntryEnd struct{ drpc.Stream }
+
+// Send sends msg to the agent.
+func (s EntryEnd) Send(msg *ToAgent) error { return s.MsgSend(msg, wire.Encoding) }
+
+// Recv receives the next message of the agent.
+func (s EntryEnd) Recv() (*ToEntry, error) {
+	msg := new(ToEntry)
+	return msg, s.MsgRecv(msg, wire.Encoding)
+}
+
+// AgentEnd is the agent's end of a link.
+type AgentEnd struct{ drpc.Stream }
+
+// Send sends msg to the entry.
+func (s AgentEnd) Send(msg *ToEntry) error { return s.MsgSend(msg, wire.Encoding) }
+
+// Recv receives the next message of the entry.
+func (s AgentEnd) Recv() (*ToAgent, error) {
+	msg := new(ToAgent)
+	return msg, s.MsgRecv(msg, wire.Encoding)
+}
+
+// GossipEnd is either end of a stream between entries.
+type GossipEnd struct{ drpc.Stream }
+
+// Send sends msg to the other entry.
+func (s GossipEnd) Send(msg *Gossip) error { return s.MsgSend(msg, wire.Encoding) }
+
+// Recv receives the next message of the other entry.
+func (s GossipEnd) Recv() (*Gossip, error) {
+	msg := new(Gossip)
+	return msg, s.MsgRecv(msg, wire.Encoding)
+}
