--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -56,7 +56,7 @@
 	// of what is known of the progress of runs.
 	lookWait = 100 * time.Millisecond
 	// adoptWithin is what an entry needs to find a new agent process.
-	adoptWithin = 400 * time.Millisecond
+	adoptWithin = 250 * time.Millisecond
 	beat        = 100 * time.Millisecond
 	idleBeat    = 500 * time.Millisecond
 	// queueLimit is some four rounds of a full worker.
@@ -70,6 +70,7 @@
 	return runner.Settings{
 		Name: file.Name, Seeds: file.EntrySeeds(), DrainTimeout: file.Grace() - drainReserve,
 		Core: core.Settings{
+			Agent:      file.Name,
 			OwnerLease: file.OwnerLease(), WorkerLease: file.WorkerLease(), LookWait: lookWait,
 			AdoptWithin: adoptWithin, QueueLimit: queueLimit, Beat: beat, IdleBeat: idleBeat, LateFactor: lateFactor,
 		},
--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -37,38 +37,3 @@
 func (c *Core) refuse(id RequestID, r refusal) {
 	c.out.Answers = append(c.out.Answers, Answer{Request: id, Kind: r.kind, RetryAfter: r.retryAfter})
 }
-
-// moveSlow stops runs that would end sooner elsewhere, on a worker of ordinary
-// speed, with their work begun anew.
-func (c *Core) moveSlow() {
-	for _, t := range c.byTask {
-		if t.state != taskPlaced || !t.slow || t.stopping || t.job.ended {
-			continue
-		}
-		a := c.agents[t.on]
-		if a == nil || c.relativeSlowness(a) < moveFrom {
-			continue
-		}
-		if t.remaining > moveGain*t.step.estimate && c.roomElsewhere(t, a) {
-			c.note(Note{Event: "move", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Key: t.key(), Worker: t.worker, Expected: t.remaining})
-			c.stop(t)
-		}
-	}
-}
-
-const (
-	// moveFrom is the slowness of a worker, against the typical one, from which
-	// its runs are moved: below it a long run is long by its own work.
-	moveFrom = 1.8
-	// moveGain is how many times its estimate a run must still need to be moved.
-	moveGain = 2
-)
-
-func (c *Core) roomElsewhere(t *task, from *agent) bool {
-	for _, a := range c.candidates(t.job.queue.Service) {
-		if a != from && a.free().Fits(t.step.Need) && c.relativeSlowness(a) < moveFrom && a.load.FailStreak < failStreakLimit {
-			return true
-		}
-	}
-	return false
-}
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -16,6 +16,8 @@
 	load    runs.Load
 	loadAt  time.Time
 	heardAt time.Time
+	// heard counts the messages.
+	heard uint64
 	// clock is the newest reading of the agent's clock, received at clockAt.
 	clock   int64
 	clockAt time.Time
@@ -88,6 +90,7 @@
 		return
 	}
 	a.heardAt = now
+	a.heard++
 	if msg.Clock > a.clock {
 		a.clock = msg.Clock
 		a.clockAt = now
@@ -99,7 +102,7 @@
 		a.takeLoad(now, msg.Load)
 	}
 	for _, p := range msg.Progress {
-		c.progressOf(p)
+		c.progressOf(a, p)
 	}
 	for i := range msg.Ends {
 		a.runs = max(a.runs-1, 0)
@@ -147,7 +150,7 @@
 // closeFormer closes an older link of the same agent, which has gone silent.
 func (c *Core) closeFormer(a *agent) {
 	for id, other := range c.agents {
-		if other != a && other.worker.Agent == a.worker.Agent {
+		if other != a && other.greeted && other.worker.Agent == a.worker.Agent {
 			delete(c.agents, id)
 			c.out.Closes = append(c.out.Closes, id)
 		}
@@ -215,11 +218,15 @@
 	a.dirty = true
 }
 
-func (c *Core) progressOf(p runs.Progress) {
+func (c *Core) progressOf(a *agent, p runs.Progress) {
 	t := c.byTask[p.Key.Task]
 	if t == nil || t.state != taskPlaced || t.run != p.Key.Run {
 		return
 	}
+	if p.Waiting {
+		t.waitsAt = a.heard
+		return
+	}
 	t.slow = true
 	t.remaining = p.Remaining
 }
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -135,8 +135,10 @@
 	// byRequest finds the job of an awaited answer.
 	byRequest map[RequestID]*job
 	// byTask finds the job of a task.
-	byTask       map[string]*task
-	learn        estimates
+	byTask map[string]*task
+	learn  estimates
+	// typical is the median slowness of each service's workers.
+	typical      map[string]float64
 	settledAt    time.Time
 	now          time.Time
 	drainingSelf bool
@@ -147,7 +149,7 @@
 func New(s Settings) *Core {
 	return &Core{
 		settings: s, agents: make(map[LinkID]*agent), lost: make(map[string]*lostAgent), jobs: make(map[string]*job),
-		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), learn: newEstimates(),
+		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), learn: newEstimates(), typical: make(map[string]float64),
 	}
 }
 
@@ -188,6 +190,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.Now(now)
 	c.expireLost()
+	c.measureTypical()
 	for _, j := range c.jobs {
 		c.checkDeadline(j)
 	}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -21,7 +21,7 @@
 	deadline time.Time
 	// objective is the time from arrival within which it should end.
 	objective time.Duration
-	// begun is true once a start may have taken effect.
+	// begun is true once a run is known to have begun.
 	begun bool
 	// ended jobs are answered; they wait for their runs to be over.
 	ended bool
@@ -51,10 +51,14 @@
 	worker   string
 	sentAt   time.Time
 	expected time.Duration
-	// slow is set while its agent reports that it takes too long.
+	// slow is set if its agent last reported that it takes too long.
 	slow      bool
 	remaining time.Duration
-	stopping  bool
+	// waitsAt is the agent's message that reported it as waiting.
+	waitsAt uint64
+	// withdrawnAt is when it was last withdrawn from a queue.
+	withdrawnAt time.Time
+	stopping    bool
 	// failedOn are the workers on which it failed.
 	failedOn map[string]int
 	failures int
@@ -235,12 +239,8 @@
 }
 
 func (c *Core) forgetIfOver(j *job) {
-	for i := range j.steps {
-		for _, t := range j.steps[i].tasks {
-			if t.state == taskPlaced {
-				return
-			}
-		}
+	if j.placed() {
+		return
 	}
 	delete(c.jobs, j.name)
 	for i := range j.steps {
@@ -259,12 +259,29 @@
 
 // lateKind is the answer to a job that has run out of time.
 func (c *Core) lateKind(j *job) errkind.Kind {
-	if j.begun {
+	if j.mayHaveRun() {
 		return errkind.DeadlineExceeded
 	}
 	return errkind.Overloaded
 }
 
+// mayHaveRun reports whether anything of a job may have begun: a run that was
+// sent out and has not ended proves nothing.
+func (j *job) mayHaveRun() bool {
+	return j.begun || j.placed()
+}
+
+func (j *job) placed() bool {
+	for i := range j.steps {
+		for _, t := range j.steps[i].tasks {
+			if t.state == taskPlaced {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // endOf handles the end of a run.
 func (c *Core) endOf(worker string, end runs.End) {
 	t := c.byTask[end.Key.Task]
@@ -281,6 +298,7 @@
 	}
 	t.stopping = false
 	t.slow = false
+	t.waitsAt = 0
 	if end.How == runs.Done {
 		c.taskDone(t, end)
 	} else {
--- /dev/null
+++ b/core/batch/move.go
@@ -0,0 +1,81 @@
+package batch
+
+import "time"
+
+// moveSlow stops runs that would end sooner elsewhere: those that wait while
+// another worker has room, and those on a slow worker, whose work begins anew.
+func (c *Core) moveSlow() {
+	for _, j := range c.jobs {
+		if j.ended {
+			continue
+		}
+		for i := range j.steps {
+			for _, t := range j.steps[i].tasks {
+				c.moveTask(t)
+			}
+		}
+	}
+}
+
+func (c *Core) moveTask(t *task) {
+	from := c.agents[t.on]
+	if t.state != taskPlaced || t.stopping || from == nil {
+		return
+	}
+	waits := t.waitsAt == from.heard
+	if !waits && !t.slow || c.now.Sub(t.withdrawnAt) < withdrawAgain {
+		return
+	}
+	here := t.remaining
+	if waits {
+		here = c.waitFor(from, from.free(), t.step.Need) + c.runTime(from, t)
+	} else if c.relativeSlowness(from) < moveFrom {
+		return // the run is long by its own work
+	}
+	there, found := c.bestElsewhere(t, from)
+	if !found || there+moveMargin+t.step.estimate/moveGainPart > here {
+		return
+	}
+	c.note(Note{
+		Event: "move", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Key: t.key(), Worker: t.worker,
+		Expected: here, Age: c.now.Sub(from.loadAt),
+	})
+	if !waits {
+		c.stop(t)
+		return
+	}
+	t.withdrawnAt = c.now
+	from.out.Withdraws = append(from.out.Withdraws, t.key())
+	from.dirty = true
+}
+
+const (
+	// moveFrom is the slowness of a worker, against the typical one, from which
+	// its runs are moved: below it a long run is long by its own work.
+	moveFrom = 1.8
+	// moveMargin is the time that a move itself takes, and moveGainPart the part of
+	// the estimate that it must gain besides.
+	moveMargin   = 10 * time.Millisecond
+	moveGainPart = 4
+	// withdrawAgain is the time after which a withdrawal that met a run already
+	// begun, or was lost, may be repeated.
+	withdrawAgain = 100 * time.Millisecond
+)
+
+// bestElsewhere returns the shortest expected time to the end of a task on
+// another worker.
+func (c *Core) bestElsewhere(t *task, from *agent) (time.Duration, bool) {
+	var best time.Duration
+	found := false
+	none := &trial{}
+	for _, a := range c.candidates(t.job.queue.Service) {
+		if a == from || !c.allowed(t, a, none) {
+			continue
+		}
+		end := c.waitFor(a, a.free(), t.step.Need) + c.runTime(a, t)
+		if !found || end < best {
+			best, found = end, true
+		}
+	}
+	return best, found
+}
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -195,19 +195,26 @@
 	return max(float64(steps)*slowStep, 0.6)
 }
 
-// typicalSlowness returns the median over a service's workers.
+// typicalSlowness returns the median over a service's workers, as of the last tick.
 func (c *Core) typicalSlowness(service string) float64 {
-	var list []int
+	if typical := c.typical[service]; typical > 0 {
+		return typical
+	}
+	return 100
+}
+
+// measureTypical finds the median slowness of each service's workers.
+func (c *Core) measureTypical() {
+	lists := make(map[string][]int)
 	for _, a := range c.agents {
-		if a.worker.Service == service && a.load.Slowness > 0 {
-			list = append(list, a.load.Slowness)
+		if a.load.Slowness > 0 {
+			lists[a.worker.Service] = append(lists[a.worker.Service], a.load.Slowness)
 		}
 	}
-	if len(list) == 0 {
-		return 100
+	for service, list := range lists {
+		sort.Ints(list)
+		c.typical[service] = float64(list[len(list)/2])
 	}
-	sort.Ints(list)
-	return float64(max(list[len(list)/2], 1))
 }
 
 // Limits on workers that fail what they start.
@@ -215,14 +222,21 @@
 	// failStreakLimit is the number of failures in a row after which a worker is
 	// taken to be the cause: single tasks fail far less often.
 	failStreakLimit = 2
+	// crawling is the slowness, against the typical worker, from which a worker
+	// counts as failing too: most jobs that go there end late.
+	crawling = 2.6
 	// probeEvery is the time between tasks that try a failing worker again.
 	probeEvery = 700 * time.Millisecond
 )
 
-// shunned reports whether an agent's worker fails all it starts and is not due
-// for a try.
+// unsound reports whether an agent's worker fails or crawls with all it starts.
+func (c *Core) unsound(a *agent) bool {
+	return a.load.FailStreak >= failStreakLimit || c.relativeSlowness(a) >= crawling
+}
+
+// shunned reports whether an agent's worker is unsound and not due for a try.
 func (c *Core) shunned(a *agent, tr *trial) bool {
-	if a.load.FailStreak < failStreakLimit {
+	if !c.unsound(a) {
 		return false
 	}
 	return c.now.Sub(a.probedAt) < probeEvery || tr.used != (room.Room{})
@@ -256,7 +270,7 @@
 	a.sent++
 	a.runs++
 	a.inFlight = append(a.inFlight, start{seq: a.sent, need: t.step.Need})
-	if a.load.FailStreak >= failStreakLimit {
+	if c.unsound(a) {
 		a.probedAt = c.now
 	}
 	spent := c.now.Sub(j.arrived)
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -26,6 +26,8 @@
 
 // Settings of a core.
 type Settings struct {
+	// Agent names the agent's instance.
+	Agent string
 	// OwnerLease is how long an entry's runs go on without a message of it.
 	OwnerLease time.Duration
 	// WorkerLease is the lease that each order and each look renews.
@@ -105,7 +107,7 @@
 // New returns a core without a worker.
 func New(s Settings) *Core {
 	return &Core{
-		settings: s, links: make(map[LinkID]*link), leases: make(map[uint64]time.Time),
+		settings: s, worker: workerState{info: runs.Worker{Agent: s.Agent}}, links: make(map[LinkID]*link), leases: make(map[uint64]time.Time),
 		runs: make(map[runs.Key]*run), pendingOwned: make(map[LinkID][]runs.Owned),
 		recent: newRecentEnds(),
 	}
@@ -185,6 +187,11 @@
 		l.seen++
 		c.admit(l, &msg.Starts[i], msg.Clock)
 	}
+	for _, key := range msg.Withdraws {
+		if r := c.runs[key]; r != nil && r.phase == phaseWaiting && r.owner.Incarnation == l.entry.Incarnation {
+			c.end(r, runs.Asked)
+		}
+	}
 	for _, key := range msg.Stops {
 		c.stopAsked(l, key)
 	}
@@ -207,6 +214,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.now = now
 	c.expireOwners()
+	c.expireLeft()
 	c.expireWorker()
 	c.expireWaiting()
 	c.stopOrphans()
@@ -256,7 +264,10 @@
 // Busy reports whether the worker has to be looked at.
 func (c *Core) Busy() bool {
 	w := &c.worker
-	return w.known && (!w.synced || c.occupied() > 0 || w.acknowledged < w.lastSeen)
+	if !w.known || !w.leftAt.IsZero() {
+		return false
+	}
+	return !w.synced || w.candidate.ID != "" || c.occupied() > 0 || w.acknowledged < w.lastSeen
 }
 
 // occupied returns the number of runs that may be at the worker.
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -69,7 +69,7 @@
 	}
 	c.worker.read(now, a.Clock)
 	if a.Verdict == WrongIncarnation {
-		c.loseWorker()
+		c.replaced()
 		return
 	}
 	r := c.runs[o.Key]
@@ -141,7 +141,7 @@
 	Token  int64
 	// LastSeen is the number of the newest end taken note of.
 	LastSeen int64
-	// Deadline is the end of the lease on the worker's clock in ms.
+	// Deadline is the end of the lease on the worker's clock in ms; 0 renews nothing.
 	Deadline int64
 	// Wait is how long the worker shall wait for an end.
 	Wait time.Duration
@@ -156,14 +156,31 @@
 		return Look{}, false
 	}
 	look := Look{Worker: c.worker.info.ID, Token: c.worker.token, LastSeen: c.worker.lastSeen, SentAt: now}
-	look.Deadline = c.worker.deadline(now, c.settings.WorkerLease)
-	c.worker.promised(look.Deadline)
+	if c.mayRenew() {
+		look.Deadline = c.worker.deadline(now, c.settings.WorkerLease)
+		c.worker.promised(look.Deadline)
+	}
 	if c.worker.synced && !c.awaitsListing() {
 		look.Wait = c.settings.LookWait
 	}
 	return look, true
 }
 
+// mayRenew reports whether the worker's lease may be renewed. It is not while
+// there may be runs that no entry of this process's knowledge owns: their entries
+// count on the end of the lease that the former process took.
+func (c *Core) mayRenew() bool {
+	if !c.worker.synced {
+		return false
+	}
+	for _, r := range c.runs {
+		if r.orphan {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitsListing reports whether a listing would settle the fate of a run.
 func (c *Core) awaitsListing() bool {
 	for _, r := range c.runs {
@@ -207,8 +224,9 @@
 	switch a.Verdict {
 	case Accepted:
 		c.worker.acknowledged = max(c.worker.acknowledged, look.LastSeen)
+		c.dropCandidate()
 	case WrongIncarnation:
-		c.loseWorker()
+		c.replaced()
 		return
 	case RefusedFence:
 		c.worker.token = max(a.Clock, c.worker.token+1)
--- a/core/runner/pace.go
+++ b/core/runner/pace.go
@@ -25,13 +25,26 @@
 	case runs.Failed:
 		p.failStreak++
 	}
-	if end.How != runs.Done || r.start.Estimate <= 0 {
-		return
+	if end.How == runs.Done && r.start.Estimate > 0 {
+		p.observe(end.Ran, r.start.Estimate)
+	}
+}
+
+// observe takes one run. One that took less than half of what the worker's pace
+// lets expect shows that the worker has recovered.
+func (p *pace) observe(ran, estimate time.Duration) {
+	ratio := ran.Seconds() / estimate.Seconds()
+	if p.estimated > 0 && ratio < recovered*p.ran/p.estimated {
+		*p = pace{failStreak: p.failStreak}
 	}
-	p.ran = p.ran*paceDecay + end.Ran.Seconds()
-	p.estimated = p.estimated*paceDecay + r.start.Estimate.Seconds()
+	p.ran = p.ran*paceDecay + ran.Seconds()
+	p.estimated = p.estimated*paceDecay + estimate.Seconds()
 }
 
+// recovered is the share of the expected run time below which earlier
+// measurements no longer hold.
+const recovered = 0.4
+
 // minProgress is the age at which the progress of a run tells something.
 const minProgress = 25 * time.Millisecond
 
@@ -62,6 +75,20 @@
 	return atReading * 100 / time.Duration(max(r.percent, 1))
 }
 
+// stoppedSlow remembers the pace of a run that is stopped because it is slow:
+// without it a worker on which everything stands still would look idle and sound.
+func (c *Core) stoppedSlow(r *run) {
+	if r.start.Estimate <= 0 || r.phase != phaseRunning {
+		return
+	}
+	if total := c.total(r); total > r.start.Estimate {
+		c.pace.observe(min(total, slowestCounted*r.start.Estimate), r.start.Estimate)
+	}
+}
+
+// slowestCounted bounds how many times its estimate a stopped run counts.
+const slowestCounted = 20
+
 // remaining returns the expected time to the end of a run; at least 1 ms.
 func (c *Core) remaining(r *run) time.Duration {
 	if r.phase != phaseRunning {
@@ -96,10 +123,14 @@
 func (c *Core) progress(incarnation uint64) []runs.Progress {
 	var list []runs.Progress
 	for _, r := range c.runs {
-		if r.owner.Incarnation != incarnation || r.phase != phaseRunning || r.orphan {
+		if r.owner.Incarnation != incarnation || r.orphan {
+			continue
+		}
+		if r.phase == phaseWaiting {
+			list = append(list, runs.Progress{Key: r.key, Waiting: true})
 			continue
 		}
-		if c.total(r) > time.Duration(float64(r.start.Estimate)*c.settings.LateFactor) {
+		if r.phase == phaseRunning && c.total(r) > time.Duration(float64(r.start.Estimate)*c.settings.LateFactor) {
 			list = append(list, runs.Progress{Key: r.key, Remaining: c.remaining(r)})
 		}
 	}
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -160,6 +160,9 @@
 		return
 	}
 	r.stopReason = reason
+	if reason == runs.Asked {
+		c.stoppedSlow(r)
+	}
 	c.orderStop(r)
 }
 
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -25,6 +25,12 @@
 	readAt time.Time
 	// promisedUntil is the latest deadline ever sent, on the worker's clock.
 	promisedUntil int64
+	// candidate is another incarnation that has announced itself. The announcement
+	// may be an old one that came late, so the worker is asked who it is.
+	candidate      runs.Worker
+	candidateClock int64
+	// leftAt is when the incarnation said that it ends; its runs may need a moment.
+	leftAt time.Time
 	// former are incarnations that are over; announcements of them came late.
 	former map[string]bool
 }
@@ -60,10 +66,15 @@
 	if c.worker.former[info.ID] {
 		return false
 	}
-	if !c.worker.known || c.worker.info.ID != info.ID {
+	if !c.worker.known {
 		c.replaceWorker(info, clock)
 		return true
 	}
+	if c.worker.info.ID != info.ID {
+		c.worker.candidate = info
+		c.worker.candidateClock = clock
+		return true
+	}
 	c.worker.read(now, clock)
 	changed := info.Draining != c.worker.info.Draining || info.Capacity != c.worker.info.Capacity
 	c.worker.info = info
@@ -86,18 +97,39 @@
 	c.workerChanged()
 }
 
-// loseWorker ends all runs of the present incarnation, which is over.
-func (c *Core) loseWorker() {
+// replaced handles that the present incarnation is over.
+func (c *Core) replaced() {
+	next, clock := c.worker.candidate, c.worker.candidateClock
+	c.loseWorker()
+	if next.ID != "" {
+		c.replaceWorker(next, clock)
+	}
+}
+
+// dropCandidate handles that the present incarnation has answered: another one
+// that announced itself is over.
+func (c *Core) dropCandidate() {
+	if c.worker.candidate.ID == "" {
+		return
+	}
+	c.retire(c.worker.candidate.ID)
+	c.worker.candidate = runs.Worker{}
+}
+
+func (c *Core) retire(id string) {
 	if c.worker.former == nil {
 		c.worker.former = make(map[string]bool)
 	}
+	c.worker.former[id] = true
+}
+
+// loseWorker ends all runs of the present incarnation, which is over.
+func (c *Core) loseWorker() {
 	if c.worker.known {
-		c.worker.former[c.worker.info.ID] = true
+		c.retire(c.worker.info.ID)
 	}
 	c.endAll(runs.NoWorker)
-	c.worker.known = false
-	c.worker.synced = false
-	c.worker.info.ID = ""
+	c.worker = workerState{info: runs.Worker{Agent: c.settings.Agent}, former: c.worker.former}
 	c.workerChanged()
 }
 
@@ -113,17 +145,27 @@
 	}
 }
 
-// Left handles the worker's word that an incarnation has ended.
+// Left handles the worker's word that an incarnation ends. Its runs count as over
+// only once it has had the time to end them.
 func (c *Core) Left(now time.Time, id string) {
 	c.now = now
-	if c.worker.known && c.worker.info.ID == id {
-		c.loseWorker()
+	if !c.worker.known || c.worker.info.ID != id || !c.worker.leftAt.IsZero() {
+		return
 	}
+	c.worker.leftAt = now
+	c.worker.synced = false
+	c.refuseWaiting(runs.NoWorker)
+	c.workerChanged()
 }
 
-// OtherIncarnation handles an answer by another incarnation than was meant: the
-// one meant is over.
-func (c *Core) OtherIncarnation(now time.Time, id string) { c.Left(now, id) }
+// stopGrace is how long a worker may take to end its runs.
+const stopGrace = 50 * time.Millisecond
+
+func (c *Core) expireLeft() {
+	if !c.worker.leftAt.IsZero() && c.now.Sub(c.worker.leftAt) > stopGrace {
+		c.replaced()
+	}
+}
 
 // expireWorker ends all runs once their lease has certainly passed on the
 // worker's clock; the worker must then be looked at anew.
@@ -131,7 +173,7 @@
 	if !c.worker.synced || c.occupied() == 0 {
 		return
 	}
-	if c.worker.earliest(c.now) <= c.worker.promisedUntil+stopGraceMillis {
+	if c.worker.earliest(c.now) <= c.worker.promisedUntil+stopGrace.Milliseconds() {
 		return
 	}
 	c.worker.synced = false
@@ -139,9 +181,6 @@
 	c.workerChanged()
 }
 
-// stopGraceMillis is how long a worker may take to end a run, in ms.
-const stopGraceMillis = 50
-
 // workerChanged has all entries told of the worker.
 func (c *Core) workerChanged() {
 	c.loadChanged = true
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -177,9 +177,11 @@
 	Seen uint64 `cbor:"5,keyasint"`
 }
 
-// Progress reports a run that takes longer than was estimated.
+// Progress reports a run that takes longer than was estimated, or that waits.
 type Progress struct {
 	Key Key `cbor:"1,keyasint"`
+	// Waiting runs have not begun; Remaining is not set.
+	Waiting bool `cbor:"3,keyasint,omitempty"`
 	// Remaining is the expected time to its end; Remaining of a run that stands
 	// still grows.
 	Remaining time.Duration `cbor:"2,keyasint"`
@@ -205,6 +207,8 @@
 	Owned  []Owned `cbor:"2,keyasint,omitempty"`
 	Starts []Start `cbor:"3,keyasint,omitempty"`
 	Stops  []Key   `cbor:"4,keyasint,omitempty"`
+	// Withdraws end runs that still wait; others go on.
+	Withdraws []Key `cbor:"7,keyasint,omitempty"`
 	// Clock is the newest ToEntry.Clock plus the time since its arrival, in
 	// nanoseconds; 0 before the first. It renews the lease.
 	Clock int64 `cbor:"5,keyasint,omitempty"`
