--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -23,17 +23,12 @@
 	switch {
 	case len(p.places) == 0 && p.missing > 0:
 		return p, &refusal{errkind.Overloaded, "no worker", retrySoon}
-	case p.delay > c.slack(j):
+	case p.delay > p.slack-c.settings.Overhead:
 		return p, &refusal{errkind.Overloaded, "no room in time", retrySoon}
 	}
 	return p, nil
 }
 
-// slack is how long a job's tasks may wait and still end within the objective.
-func (c *Core) slack(j *job) time.Duration {
-	return j.objective - j.chain() - c.settings.Overhead
-}
-
 func (c *Core) refuse(id RequestID, r refusal) {
 	c.out.Answers = append(c.out.Answers, Answer{Request: id, Kind: r.kind, RetryAfter: r.retryAfter})
 }
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -33,8 +33,9 @@
 
 // start is a start that the newest load does not include.
 type start struct {
-	seq  uint64
-	need room.Room
+	seq   uint64
+	need  room.Room
+	slack time.Duration
 }
 
 // lostAgent is an agent whose link broke.
@@ -48,11 +49,20 @@
 	return a.greeted && a.worker.ID != "" && !a.worker.Draining && now.Sub(a.heardAt) < silentAfter
 }
 
-// free returns the room that is probably free, without what was sent meanwhile.
-func (a *agent) free() room.Room {
+// free returns the room that is probably left for a run with some slack: without
+// the runs at the worker and those that wait or are on their way and go first.
+func (a *agent) free(slack time.Duration) room.Room {
 	left := a.load.Free
+	band := runs.SlackBand(slack)
+	for i, cpu := range a.load.Waiting {
+		if i <= band {
+			left.CPU -= cpu
+		}
+	}
 	for _, s := range a.inFlight {
-		left = left.Minus(s.need)
+		if runs.SlackBand(s.slack) <= band {
+			left = left.Minus(s.need)
+		}
 	}
 	return left
 }
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -23,9 +23,12 @@
 	objective time.Duration
 	// begun is true once a run is known to have begun.
 	begun bool
-	// ended jobs are answered; they wait for their runs to be over.
+	// ended jobs get no more starts; they wait for their runs to be over.
 	ended bool
-	left  int
+	// answerBy is set while the answer of an ended job waits for its agents to say
+	// whether anything began.
+	answerBy time.Time
+	left     int
 }
 
 // step is a Step with its tasks.
@@ -117,6 +120,7 @@
 	j.deadline = r.Deadline
 	if j.ended {
 		j.ended = false
+		j.answerBy = time.Time{}
 		j.arrived = c.now
 	}
 	c.note(Note{Event: "attach", Job: j.name, Queue: j.queue.Name, Version: j.version})
@@ -209,10 +213,41 @@
 		return
 	}
 	c.note(Note{Event: "give up", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: reason, Age: c.now.Sub(j.arrived)})
-	c.answer(j, kind)
+	if kind != outOfTime || j.begun || !j.placed() {
+		c.answer(j, c.truthful(j, kind))
+		c.endJob(j)
+		return
+	}
+	j.answerBy = c.now.Add(proofWait)
 	c.endJob(j)
 }
 
+// proofWait is how long the answer of a job that is given up waits for the proof
+// that nothing of it began: a few round trips. With the proof the caller may come
+// back; without it a job that must not run twice is lost to the caller.
+const proofWait = 40 * time.Millisecond
+
+// truthful turns a job's end for lack of time into what can be said of it.
+func (c *Core) truthful(j *job, kind errkind.Kind) errkind.Kind {
+	switch {
+	case kind != outOfTime:
+		return kind
+	case j.begun || j.placed():
+		return errkind.DeadlineExceeded
+	}
+	return errkind.Overloaded
+}
+
+// answerProved answers a job that was given up once all its runs are over, or
+// when the answer may wait no longer.
+func (c *Core) answerProved(j *job) {
+	if j.answerBy.IsZero() || j.placed() && !j.begun && c.now.Before(j.answerBy) {
+		return
+	}
+	j.answerBy = time.Time{}
+	c.answer(j, c.truthful(j, outOfTime))
+}
+
 func (c *Core) answer(j *job, kind errkind.Kind) {
 	retryAfter := time.Duration(0)
 	if errkind.Of(kind).Retry {
@@ -253,23 +288,16 @@
 // checkDeadline gives a job up whose caller has stopped waiting.
 func (c *Core) checkDeadline(j *job) {
 	if !j.ended && !c.now.Before(j.deadline) {
-		c.giveUp(j, c.lateKind(j), "deadline")
+		c.giveUp(j, outOfTime, "deadline")
 	}
+	c.answerProved(j)
 }
 
-// lateKind is the answer to a job that has run out of time.
-func (c *Core) lateKind(j *job) errkind.Kind {
-	if j.mayHaveRun() {
-		return errkind.DeadlineExceeded
-	}
-	return errkind.Overloaded
-}
+// outOfTime gives a job up for lack of time. What the caller is told depends on
+// whether anything of it began.
+const outOfTime = errkind.DeadlineTooShort
 
-// mayHaveRun reports whether anything of a job may have begun: a run that was
-// sent out and has not ended proves nothing.
-func (j *job) mayHaveRun() bool {
-	return j.begun || j.placed()
-}
+// placed reports whether a run was sent out that has not ended: it may have begun.
 
 func (j *job) placed() bool {
 	for i := range j.steps {
@@ -306,6 +334,7 @@
 		c.ranBadly(t, worker, end)
 	}
 	if j.ended {
+		c.answerProved(j)
 		c.forgetIfOver(j)
 		return
 	}
--- a/core/batch/move.go
+++ b/core/batch/move.go
@@ -26,9 +26,9 @@
 	if !waits && !t.slow || c.now.Sub(t.withdrawnAt) < withdrawAgain {
 		return
 	}
-	here := t.remaining
+	here, slack := t.remaining, t.job.slackLeft(c.now)
 	if waits {
-		here = c.waitFor(from, from.free(), t.step.Need) + c.runTime(from, t)
+		here = c.waitFor(from, from.free(slack), t.step.Need) + c.runTime(from, t)
 	} else if c.relativeSlowness(from) < moveFrom {
 		return // the run is long by its own work
 	}
@@ -72,7 +72,7 @@
 		if a == from || !c.allowed(t, a, none) {
 			continue
 		}
-		end := c.waitFor(a, a.free(), t.step.Need) + c.runTime(a, t)
+		end := c.waitFor(a, a.free(t.job.slackLeft(c.now)), t.step.Need) + c.runTime(a, t)
 		if !found || end < best {
 			best, found = end, true
 		}
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -16,6 +16,8 @@
 	delay, finish time.Duration
 	// age is that of the oldest load that decided.
 	age time.Duration
+	// slack is what the job's tasks may wait and still end in time.
+	slack time.Duration
 	// missing counts tasks for which there is no worker.
 	missing int
 }
@@ -38,6 +40,7 @@
 	var p plan
 	trials := make(map[LinkID]*trial)
 	candidates := c.candidates(j.queue.Service)
+	p.slack = j.slackLeft(c.now)
 	for i := range j.steps {
 		s := &j.steps[i]
 		if s.left == 0 || !j.ready(s) {
@@ -77,7 +80,7 @@
 		if !c.allowed(t, a, tr) {
 			continue
 		}
-		free := a.free().Minus(tr.used)
+		free := a.free(p.slack).Minus(tr.used)
 		wait := c.waitFor(a, free, t.step.Need)
 		run := c.runTime(a, t)
 		cost := c.cost(a, t, wait, run)
@@ -269,14 +272,13 @@
 	t.expected = pl.wait + pl.run
 	a.sent++
 	a.runs++
-	a.inFlight = append(a.inFlight, start{seq: a.sent, need: t.step.Need})
+	a.inFlight = append(a.inFlight, start{seq: a.sent, need: t.step.Need, slack: j.slackLeft(c.now)})
 	if c.unsound(a) {
 		a.probedAt = c.now
 	}
-	spent := c.now.Sub(j.arrived)
 	a.out.Starts = append(a.out.Starts, runs.Start{
 		Key: t.key(), Spec: j.spec, Need: t.step.Need, Estimate: t.step.estimate,
-		Slack: j.objective - spent - t.step.estimate, Patience: c.patience(j),
+		Slack: j.slackLeft(c.now), Patience: c.patience(j),
 	})
 	a.dirty = true
 	c.note(Note{
@@ -285,6 +287,12 @@
 	})
 }
 
+// slackLeft is how long the tasks of a job may still wait so that it ends within
+// its objective.
+func (j *job) slackLeft(now time.Time) time.Duration {
+	return j.objective - j.chain() - now.Sub(j.arrived)
+}
+
 // patience is how long a run of a job may wait for its start.
 func (c *Core) patience(j *job) time.Duration {
 	return min(j.deadline.Sub(c.now), lateFactor*j.objective-c.now.Sub(j.arrived))
@@ -302,7 +310,7 @@
 		return
 	}
 	if c.patience(j) <= 0 {
-		c.giveUp(j, c.lateKind(j), "no time left")
+		c.giveUp(j, outOfTime, "no time left")
 		return
 	}
 	c.carryOut(c.planJob(j))
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -281,15 +281,6 @@
 	return n
 }
 
-// free returns the room that neither runs nor waiting runs take.
-func (c *Core) free() room.Room {
-	left := c.roomLeft()
-	for _, r := range c.queue {
-		left = left.Minus(r.need)
-	}
-	return left
-}
-
 // roomLeft returns the room that the runs at the worker leave.
 func (c *Core) roomLeft() room.Room {
 	left := c.worker.info.Capacity
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -52,6 +52,8 @@
 	RefusedOther
 	// WrongIncarnation: the incarnation meant is over.
 	WrongIncarnation
+	// NotListening: nothing listens at the worker's address; its process has ended.
+	NotListening
 )
 
 // Answer is the outcome of an order.
@@ -68,7 +70,7 @@
 		return
 	}
 	c.worker.read(now, a.Clock)
-	if a.Verdict == WrongIncarnation {
+	if a.Verdict == WrongIncarnation || a.Verdict == NotListening {
 		c.replaced()
 		return
 	}
@@ -170,7 +172,7 @@
 // there may be runs that no entry of this process's knowledge owns: their entries
 // count on the end of the lease that the former process took.
 func (c *Core) mayRenew() bool {
-	if !c.worker.synced {
+	if !c.worker.synced || c.silent() {
 		return false
 	}
 	for _, r := range c.runs {
@@ -225,9 +227,13 @@
 	case Accepted:
 		c.worker.acknowledged = max(c.worker.acknowledged, look.LastSeen)
 		c.dropCandidate()
-	case WrongIncarnation:
+		c.answered()
+	case WrongIncarnation, NotListening:
 		c.replaced()
 		return
+	case NoAnswer:
+		c.unanswered()
+		return
 	case RefusedFence:
 		c.worker.token = max(a.Clock, c.worker.token+1)
 		c.worker.synced = false
--- a/core/runner/pace.go
+++ b/core/runner/pace.go
@@ -102,11 +102,23 @@
 
 func (c *Core) load(l *link) *runs.Load {
 	return &runs.Load{
-		Free: c.free(), Freeings: c.freeings(), Slowness: c.slowness(),
+		Free: c.roomLeft(), Waiting: c.waitingCPU(), Freeings: c.freeings(), Slowness: c.slowness(),
 		FailStreak: c.pace.failStreak, Seen: l.seen,
 	}
 }
 
+// waitingCPU returns what waiting runs ask for by their slack.
+func (c *Core) waitingCPU() []int {
+	if len(c.queue) == 0 {
+		return nil
+	}
+	bands := make([]int, runs.SlackBands)
+	for _, r := range c.queue {
+		bands[runs.SlackBand(r.startBy.Sub(c.now))] += r.need.CPU
+	}
+	return bands
+}
+
 // freeings returns the next expected ends, soonest first.
 func (c *Core) freeings() []runs.Freeing {
 	var list []runs.Freeing
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -91,7 +91,7 @@
 	switch {
 	case c.draining || c.worker.info.Draining:
 		return runs.Draining
-	case !c.worker.synced:
+	case !c.worker.synced || c.silent():
 		return runs.NoWorker
 	case !c.leased(r.owner):
 		return runs.NoLease
@@ -106,7 +106,7 @@
 // startWaiting orders the start of waiting runs that fit, the most urgent first.
 // A smaller run may pass one that does not fit, so that no room stays unused.
 func (c *Core) startWaiting() {
-	if len(c.queue) == 0 || !c.worker.synced {
+	if len(c.queue) == 0 || !c.worker.synced || c.silent() {
 		return
 	}
 	left := c.roomLeft()
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -31,6 +31,8 @@
 	candidateClock int64
 	// leftAt is when the incarnation said that it ends; its runs may need a moment.
 	leftAt time.Time
+	// unanswered counts the looks in a row that got no answer.
+	unanswered int
 	// former are incarnations that are over; announcements of them came late.
 	former map[string]bool
 }
@@ -167,6 +169,33 @@
 	}
 }
 
+// silentLooks is the number of looks in a row without an answer from which the
+// worker is taken to be out of reach. A single answer may be lost.
+const silentLooks = 2
+
+// silent reports whether the worker is out of reach. Its lease is then no longer
+// renewed: an unanswered call may have renewed it, and runs could not be told to
+// be over as long as such calls go out.
+func (c *Core) silent() bool { return c.worker.unanswered >= silentLooks }
+
+// unanswered counts a look without an answer.
+func (c *Core) unanswered() {
+	c.worker.unanswered++
+	if c.worker.unanswered == silentLooks {
+		c.refuseWaiting(runs.NoWorker)
+		c.workerChanged()
+	}
+}
+
+// answered notes that the worker is in reach.
+func (c *Core) answered() {
+	was := c.silent()
+	c.worker.unanswered = 0
+	if was {
+		c.workerChanged()
+	}
+}
+
 // expireWorker ends all runs once their lease has certainly passed on the
 // worker's clock; the worker must then be looked at anew.
 func (c *Core) expireWorker() {
@@ -192,7 +221,7 @@
 func (c *Core) tellWorker(l *link) {
 	info := c.worker.info
 	info.Draining = info.Draining || c.draining
-	if !c.worker.synced {
+	if !c.worker.synced || c.silent() {
 		info.ID = ""
 	}
 	l.out.Worker = &info
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -161,11 +161,32 @@
 	CPU int `cbor:"2,keyasint"`
 }
 
+// slackBands are the upper bounds of the bands of slack in which a load counts
+// the runs that wait; the last band has none.
+var slackBands = [...]time.Duration{
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+}
+
+// SlackBands is the number of bands.
+const SlackBands = len(slackBands) + 1
+
+// SlackBand returns the band of a slack; less slack goes first.
+func SlackBand(slack time.Duration) int {
+	for i, bound := range slackBands {
+		if slack < bound {
+			return i
+		}
+	}
+	return len(slackBands)
+}
+
 // Load describes how busy a worker is at the time of sending.
 type Load struct {
-	// Free is the room that neither runs nor waiting runs take; it may be
-	// negative in CPU by what waits.
+	// Free is the room that the runs at the worker leave.
 	Free room.Room `cbor:"1,keyasint"`
+	// Waiting is the processor room that waiting runs ask for, by the bands of
+	// slack that SlackBand tells; empty if none wait.
+	Waiting []int `cbor:"6,keyasint,omitempty"`
 	// Freeings are the next expected ends, soonest first.
 	Freeings []Freeing `cbor:"2,keyasint,omitempty"`
 	// Slowness is the measured ratio of run times to their estimates, in
