A worker's measured pace decays with time

Cause: workers that had been slow were kept out for up to 13 s after their recovery; the sums decayed by number of runs, and a shunned worker gets one run every 0.7 s. Change: half-life of 1.5 s, a prior of 0.5 s.

--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -270,7 +270,7 @@
 		if end.How == runs.Stopped {
 			end.Reason = r.stopReason
 		}
-		c.pace.ended(r, end)
+		c.pace.ended(c.now, r, end)
 		c.finish(r, end)
 	}
 }
--- a/core/runner/pace.go
+++ b/core/runner/pace.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -10,15 +11,24 @@
 // pace measures how fast the worker is, from the runs that ended and from the
 // progress of those that run.
 type pace struct {
-	// ran and estimated are decaying sums over the ended runs, in seconds.
+	// ran and estimated are sums over the ended runs, in seconds, that decay with
+	// time, as of the time at.
 	ran, estimated float64
+	at             time.Time
 	failStreak     int
 }
 
-// paceDecay is the weight that the sums keep at each end: the last 20 runs count.
-const paceDecay = 0.95
+const (
+	// paceHalfLife is the time after which a measurement counts half. A worker that
+	// was slow and gets little work since is trusted again after a few of them: a
+	// decay by number of runs kept such workers out for 13 s after their recovery.
+	paceHalfLife = 1500 * time.Millisecond
+	// pacePrior is the time, in seconds, that counts as run and estimated alike, so
+	// that a single odd run does not judge a worker.
+	pacePrior = 0.5
+)
 
-func (p *pace) ended(r *run, end runs.End) {
+func (p *pace) ended(now time.Time, r *run, end runs.End) {
 	switch end.How {
 	case runs.Done:
 		p.failStreak = 0
@@ -26,37 +36,35 @@
 		p.failStreak++
 	}
 	if end.How == runs.Done && r.start.Estimate > 0 {
-		p.observe(end.Ran, r.start.Estimate)
+		p.observe(now, end.Ran, r.start.Estimate)
 	}
 }
 
-// observe takes one run. One that took less than half of what the worker's pace
-// lets expect shows that the worker has recovered.
-func (p *pace) observe(ran, estimate time.Duration) {
-	ratio := ran.Seconds() / estimate.Seconds()
-	if p.estimated == 0 || ratio < recovered*p.ran/p.estimated {
-		*p = pace{failStreak: p.failStreak, ran: pacePrior, estimated: pacePrior}
-	}
-	p.ran = p.ran*paceDecay + ran.Seconds()
-	p.estimated = p.estimated*paceDecay + estimate.Seconds()
+// observe takes one run.
+func (p *pace) observe(now time.Time, ran, estimate time.Duration) {
+	p.decay(now)
+	p.ran += ran.Seconds()
+	p.estimated += estimate.Seconds()
 }
 
-// pacePrior is the time, in seconds, that counts as run and estimated alike before
-// anything was measured, so that a single odd run does not judge a worker.
-const pacePrior = 0.5
-
-// recovered is the share of the expected run time below which earlier
-// measurements no longer hold.
-const recovered = 0.4
+func (p *pace) decay(now time.Time) {
+	if p.at.IsZero() {
+		p.at = now
+	}
+	kept := math.Exp2(-now.Sub(p.at).Seconds() / paceHalfLife.Seconds())
+	p.ran *= kept
+	p.estimated *= kept
+	p.at = now
+}
 
 // minProgress is the age at which the progress of a run tells something.
 const minProgress = 25 * time.Millisecond
 
-// slowness returns the ratio of run times to estimates, in hundredths; 0 if
-// nothing was measured. Runs that are under way count by their expected time, so
+// slowness returns the ratio of run times to estimates, in hundredths. Runs that are under way count by their expected time, so
 // that a worker on which everything stands still shows within some 50 ms.
 func (c *Core) slowness() int {
-	ran, estimated := c.pace.ran, c.pace.estimated
+	c.pace.decay(c.now)
+	ran, estimated := c.pace.ran+pacePrior, c.pace.estimated+pacePrior
 	for _, r := range c.runs {
 		if r.phase != phaseRunning || r.start.Estimate <= 0 || r.percentAt.Sub(r.confirmedAt) < minProgress {
 			continue
@@ -64,9 +72,6 @@
 		ran += c.total(r).Seconds()
 		estimated += r.start.Estimate.Seconds()
 	}
-	if estimated == 0 {
-		return 0
-	}
 	return int(100 * ran / estimated)
 }
 
@@ -86,7 +91,7 @@
 		return
 	}
 	if total := c.total(r); total > r.start.Estimate {
-		c.pace.observe(min(total, slowestCounted*r.start.Estimate), r.start.Estimate)
+		c.pace.observe(c.now, min(total, slowestCounted*r.start.Estimate), r.start.Estimate)
 	}
 }
 
