--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -67,24 +67,24 @@
 // LinkUp opens a link to an agent.
 func (c *Core) LinkUp(now time.Time, id LinkID) {
 	c.Now(now)
-	c.agents[id] = &agent{link: id, heardAt: now}
+	c.agents.Put(id, &agent{link: id, heardAt: now})
 }
 
 // LinkDown closes a link. Runs there are in doubt until the agent is back or
 // their leases have passed.
 func (c *Core) LinkDown(now time.Time, id LinkID) {
 	c.Now(now)
-	a := c.agents[id]
+	a := c.agents.Get(id)
 	if a == nil {
 		return
 	}
-	delete(c.agents, id)
+	c.agents.Delete(id)
 	if a.worker.Agent == "" {
 		return
 	}
 	over := a.lastSent.Add(c.settings.OwnerLease + c.settings.WorkerLease)
-	if old := c.lost[a.worker.Agent]; old == nil || old.overAt.Before(over) {
-		c.lost[a.worker.Agent] = &lostAgent{overAt: over}
+	if old := c.lost.Get(a.worker.Agent); old == nil || old.overAt.Before(over) {
+		c.lost.Put(a.worker.Agent, &lostAgent{overAt: over})
 	}
 	c.note(Note{Event: "agent lost", Worker: a.worker.ID, Age: now.Sub(a.heardAt)})
 }
@@ -92,7 +92,7 @@
 // Receive handles a message of an agent.
 func (c *Core) Receive(now time.Time, id LinkID, msg *runs.ToEntry) {
 	c.Now(now)
-	a := c.agents[id]
+	a := c.agents.Get(id)
 	if a == nil {
 		return
 	}
@@ -139,25 +139,23 @@
 	a.dirty = true
 	c.closeFormer(a)
 	a.out.Owned = []runs.Owned{}
-	for _, t := range c.byTask {
-		if t.state == taskPlaced && t.agent == w.Agent {
-			a.out.Owned = append(a.out.Owned, runs.Owned{Key: t.key(), Need: t.step.Need, Estimate: t.step.estimate})
-			t.on = a.link
-			a.runs++
-			t.stopping = false
-			if t.job.ended {
-				c.stop(t)
-			}
+	for _, t := range c.tasksAt(w.Agent) {
+		a.out.Owned = append(a.out.Owned, runs.Owned{Key: t.key(), Need: t.step.Need, Estimate: t.step.estimate})
+		t.on = a.link
+		a.runs++
+		t.stopping = false
+		if t.job.ended {
+			c.stop(t)
 		}
 	}
-	delete(c.lost, w.Agent)
+	c.lost.Delete(w.Agent)
 }
 
 // closeFormer closes an older link of the same agent, which has gone silent.
 func (c *Core) closeFormer(a *agent) {
-	for id, other := range c.agents {
+	for id, other := range c.agents.All() {
 		if other != a && other.greeted && other.worker.Agent == a.worker.Agent {
-			delete(c.agents, id)
+			c.agents.Delete(id)
 			c.out.Closes = append(c.out.Closes, id)
 		}
 	}
@@ -172,11 +170,11 @@
 
 // expireLost ends the runs at lost agents whose leases have passed.
 func (c *Core) expireLost() {
-	for name, l := range c.lost {
+	for name, l := range c.lost.All() {
 		if c.now.Before(l.overAt) {
 			continue
 		}
-		delete(c.lost, name)
+		c.lost.Delete(name)
 		for _, t := range c.tasksAt(name) {
 			c.endOf(t.worker, runs.End{Key: t.key(), How: runs.Gone})
 		}
@@ -185,9 +183,13 @@
 
 func (c *Core) tasksAt(agentName string) []*task {
 	var list []*task
-	for _, t := range c.byTask {
-		if t.state == taskPlaced && t.agent == agentName {
-			list = append(list, t)
+	for j := range c.jobs.Values() {
+		for i := range j.steps {
+			for _, t := range j.steps[i].tasks {
+				if t.state == taskPlaced && t.agent == agentName {
+					list = append(list, t)
+				}
+			}
 		}
 	}
 	return list
@@ -215,7 +217,7 @@
 
 // stop has the run of a task end.
 func (c *Core) stop(t *task) {
-	a := c.agents[t.on]
+	a := c.agents.Get(t.on)
 	if t.stopping || a == nil {
 		return
 	}
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/common/ordered"
 	"peridotpick.example/common/room"
 	"peridotpick.example/core/catalog"
 	"peridotpick.example/wire/runs"
@@ -129,10 +130,10 @@
 // Core is the state of one entry.
 type Core struct {
 	settings Settings
-	agents   map[LinkID]*agent
+	agents   ordered.Map[LinkID, *agent]
 	// lost are agents whose link broke and whose runs may still go on.
-	lost map[string]*lostAgent
-	jobs map[string]*job
+	lost ordered.Map[string, *lostAgent]
+	jobs ordered.Map[string, *job]
 	// byRequest finds the job of an awaited answer.
 	byRequest map[RequestID]*job
 	// byTask finds the job of a task.
@@ -149,7 +150,7 @@
 // New returns a core without agents.
 func New(s Settings) *Core {
 	return &Core{
-		settings: s, agents: make(map[LinkID]*agent), lost: make(map[string]*lostAgent), jobs: make(map[string]*job),
+		settings:  s,
 		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), learn: newEstimates(), typical: make(map[string]float64),
 	}
 }
@@ -171,7 +172,7 @@
 	if gap < c.settings.OwnerLease {
 		return
 	}
-	for _, j := range c.jobs {
+	for j := range c.jobs.Values() {
 		c.giveUp(j, errkind.FateUnknown, "suspended")
 	}
 }
@@ -179,7 +180,7 @@
 // Flush returns what the events since the last call ask for.
 func (c *Core) Flush(now time.Time) Output {
 	c.Now(now)
-	for _, a := range c.agents {
+	for a := range c.agents.Values() {
 		c.flushAgent(a)
 	}
 	out := c.out
@@ -192,7 +193,7 @@
 	c.Now(now)
 	c.expireLost()
 	c.measureTypical()
-	for _, j := range c.jobs {
+	for j := range c.jobs.Values() {
 		c.checkDeadline(j)
 	}
 	c.placeWaiting()
@@ -205,7 +206,7 @@
 // Workers returns the number of workers that can be given work.
 func (c *Core) Workers() int {
 	n := 0
-	for _, a := range c.agents {
+	for a := range c.agents.Values() {
 		if a.usable(c.now, c.settings.SilentAfter) {
 			n++
 		}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -86,7 +86,7 @@
 // Submit handles a new job, or one that was sent again.
 func (c *Core) Submit(now time.Time, r *Request) {
 	c.Now(now)
-	if old := c.jobs[r.Job]; old != nil {
+	if old := c.jobs.Get(r.Job); old != nil {
 		c.attach(old, r)
 		return
 	}
@@ -101,7 +101,7 @@
 		c.note(Note{Event: "refuse", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: refused.reason, Wait: plan.delay, Slack: plan.slack, Expected: plan.finish, Age: plan.age})
 		return
 	}
-	c.jobs[j.name] = j
+	c.jobs.Put(j.name, j)
 	c.byRequest[r.ID] = j
 	for i := range j.steps {
 		for _, t := range j.steps[i].tasks {
@@ -199,7 +199,7 @@
 // CancelJob ends a job by its name. It reports whether the job was here.
 func (c *Core) CancelJob(now time.Time, name string) bool {
 	c.Now(now)
-	j := c.jobs[name]
+	j := c.jobs.Get(name)
 	if j == nil || j.ended {
 		return false
 	}
@@ -277,7 +277,7 @@
 	if j.placed() {
 		return
 	}
-	delete(c.jobs, j.name)
+	c.jobs.Delete(j.name)
 	for i := range j.steps {
 		for _, t := range j.steps[i].tasks {
 			delete(c.byTask, t.name)
@@ -317,7 +317,7 @@
 		return // of an earlier run or a job that is forgotten
 	}
 	j := t.job
-	if a := c.agents[t.on]; a != nil {
+	if a := c.agents.Get(t.on); a != nil {
 		a.runs--
 	}
 	c.note(Note{
--- a/core/batch/move.go
+++ b/core/batch/move.go
@@ -5,7 +5,7 @@
 // moveSlow stops runs that would end sooner elsewhere: those that wait while
 // another worker has room, and those on a slow worker, whose work begins anew.
 func (c *Core) moveSlow() {
-	for _, j := range c.jobs {
+	for j := range c.jobs.Values() {
 		if j.ended {
 			continue
 		}
@@ -18,7 +18,7 @@
 }
 
 func (c *Core) moveTask(t *task) {
-	from := c.agents[t.on]
+	from := c.agents.Get(t.on)
 	if t.state != taskPlaced || t.stopping || from == nil {
 		return
 	}
@@ -32,7 +32,7 @@
 	} else if c.relativeSlowness(from) < moveFrom {
 		return // the run is long by its own work
 	}
-	there, found := c.bestElsewhere(t, from)
+	there, found := c.bestElsewhere(t, from, waits && !c.unsound(from))
 	if !found || there+moveMargin+t.step.estimate/moveGainPart > here {
 		return
 	}
@@ -63,8 +63,9 @@
 )
 
 // bestElsewhere returns the shortest expected time to the end of a task on
-// another worker.
-func (c *Core) bestElsewhere(t *task, from *agent) (time.Duration, bool) {
+// another worker. With atOnce only workers count that have room now: in overload
+// all queues look much the same, and runs would go round between them.
+func (c *Core) bestElsewhere(t *task, from *agent, atOnce bool) (time.Duration, bool) {
 	var best time.Duration
 	found := false
 	none := &trial{}
@@ -72,7 +73,11 @@
 		if a == from || !c.allowed(t, a, none) {
 			continue
 		}
-		end := c.waitFor(a, a.free(t.job.slackLeft(c.now)), t.step.Need) + c.runTime(a, t)
+		wait := c.waitFor(a, a.free(t.job.slackLeft(c.now)), t.step.Need)
+		if atOnce && wait > 0 {
+			continue
+		}
+		end := wait + c.runTime(a, t)
 		if !found || end < best {
 			best, found = end, true
 		}
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -55,15 +55,14 @@
 	return p
 }
 
-// candidates returns the usable agents of a service in a fixed order.
+// candidates returns the usable agents of a service.
 func (c *Core) candidates(service string) []*agent {
 	var list []*agent
-	for _, a := range c.agents {
+	for a := range c.agents.Values() {
 		if a.worker.Service == service && a.usable(c.now, c.settings.SilentAfter) {
 			list = append(list, a)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].link < list[j].link })
 	return list
 }
 
@@ -210,7 +209,7 @@
 // measureTypical finds the median slowness of each service's workers.
 func (c *Core) measureTypical() {
 	lists := make(map[string][]int)
-	for _, a := range c.agents {
+	for a := range c.agents.Values() {
 		if a.load.Slowness > 0 {
 			lists[a.worker.Service] = append(lists[a.worker.Service], a.load.Slowness)
 		}
@@ -247,7 +246,7 @@
 }
 
 func (c *Core) failing(worker string) bool {
-	for _, a := range c.agents {
+	for a := range c.agents.Values() {
 		if a.worker.ID == worker {
 			return a.load.FailStreak >= failStreakLimit
 		}
@@ -320,7 +319,7 @@
 // placeWaiting places waiting tasks of all jobs, the most urgent jobs first.
 func (c *Core) placeWaiting() {
 	var waiting []*job
-	for _, j := range c.jobs {
+	for j := range c.jobs.Values() {
 		if !j.ended && j.hasWaiting() {
 			waiting = append(waiting, j)
 		}
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -20,6 +20,7 @@
 import (
 	"time"
 
+	"peridotpick.example/common/ordered"
 	"peridotpick.example/common/room"
 	"peridotpick.example/wire/runs"
 )
@@ -89,13 +90,13 @@
 type Core struct {
 	settings Settings
 	worker   workerState
-	links    map[LinkID]*link
+	links    ordered.Map[LinkID, *link]
 	// leases are the ends of owners' leases, by incarnation.
 	leases map[uint64]time.Time
-	runs   map[runs.Key]*run
+	runs   ordered.Map[runs.Key, *run]
 	queue  waiting
 	// pendingOwned are lists of owned runs that wait until the worker was looked at.
-	pendingOwned map[LinkID][]runs.Owned
+	pendingOwned ordered.Map[LinkID, []runs.Owned]
 	recent       recentEnds
 	pace         pace
 	draining     bool
@@ -107,8 +108,7 @@
 // New returns a core without a worker.
 func New(s Settings) *Core {
 	return &Core{
-		settings: s, worker: workerState{info: runs.Worker{Agent: s.Agent}}, links: make(map[LinkID]*link), leases: make(map[uint64]time.Time),
-		runs: make(map[runs.Key]*run), pendingOwned: make(map[LinkID][]runs.Owned),
+		settings: s, worker: workerState{info: runs.Worker{Agent: s.Agent}}, leases: make(map[uint64]time.Time),
 		recent: newRecentEnds(),
 	}
 }
@@ -117,7 +117,7 @@
 func (c *Core) Flush(now time.Time) Output {
 	c.now = now
 	c.startWaiting()
-	for _, l := range c.links {
+	for l := range c.links.Values() {
 		c.flushLink(l)
 	}
 	c.loadChanged = false
@@ -150,13 +150,13 @@
 	c.now = now
 	c.dropFormer(entry)
 	l := &link{id: id, entry: entry}
-	c.links[id] = l
+	c.links.Put(id, l)
 	c.tellWorker(l)
 }
 
 // dropFormer stops the runs of a former incarnation of an entry.
 func (c *Core) dropFormer(entry runs.Entry) {
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.owner.Address == entry.Address && r.owner.Incarnation != entry.Incarnation {
 			c.leases[r.owner.Incarnation] = time.Time{}
 		}
@@ -167,20 +167,20 @@
 // LinkDown closes a link. Its entry's runs go on until the lease is over.
 func (c *Core) LinkDown(now time.Time, id LinkID) {
 	c.now = now
-	delete(c.links, id)
-	delete(c.pendingOwned, id)
+	c.links.Delete(id)
+	c.pendingOwned.Delete(id)
 }
 
 // Receive handles a message of an entry.
 func (c *Core) Receive(now time.Time, id LinkID, msg *runs.ToAgent) {
 	c.now = now
-	l := c.links[id]
+	l := c.links.Get(id)
 	if l == nil {
 		return
 	}
 	c.renew(l, msg.Clock)
 	if msg.Owned != nil {
-		c.pendingOwned[id] = msg.Owned
+		c.pendingOwned.Put(id, msg.Owned)
 		c.reconcile()
 	}
 	for i := range msg.Starts {
@@ -188,7 +188,7 @@
 		c.admit(l, &msg.Starts[i], msg.Clock)
 	}
 	for _, key := range msg.Withdraws {
-		if r := c.runs[key]; r != nil && r.phase == phaseWaiting && r.owner.Incarnation == l.entry.Incarnation {
+		if r := c.runs.Get(key); r != nil && r.phase == phaseWaiting && r.owner.Incarnation == l.entry.Incarnation {
 			c.end(r, runs.Asked)
 		}
 	}
@@ -224,7 +224,7 @@
 
 // expireOwners ends the runs of entries whose lease is over.
 func (c *Core) expireOwners() {
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.orphan || c.leased(r.owner) {
 			continue
 		}
@@ -242,7 +242,7 @@
 }
 
 func (c *Core) owns(incarnation uint64) bool {
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.owner.Incarnation == incarnation {
 			return true
 		}
@@ -259,7 +259,7 @@
 }
 
 // Idle reports whether nothing runs.
-func (c *Core) Idle() bool { return len(c.runs) == 0 }
+func (c *Core) Idle() bool { return c.runs.Len() == 0 }
 
 // Busy reports whether the worker has to be looked at.
 func (c *Core) Busy() bool {
@@ -273,7 +273,7 @@
 // occupied returns the number of runs that may be at the worker.
 func (c *Core) occupied() int {
 	n := 0
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.phase != phaseWaiting {
 			n++
 		}
@@ -284,7 +284,7 @@
 // roomLeft returns the room that the runs at the worker leave.
 func (c *Core) roomLeft() room.Room {
 	left := c.worker.info.Capacity
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		switch {
 		case r.orphan:
 			return room.Room{} // its size is not known
@@ -297,6 +297,6 @@
 
 // Owes reports whether runs of a link's entry are here.
 func (c *Core) Owes(id LinkID) bool {
-	l := c.links[id]
+	l := c.links.Get(id)
 	return l != nil && c.owns(l.entry.Incarnation)
 }
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -74,7 +74,7 @@
 		c.replaced()
 		return
 	}
-	r := c.runs[o.Key]
+	r := c.runs.Get(o.Key)
 	if r == nil {
 		return
 	}
@@ -149,6 +149,17 @@
 	Wait time.Duration
 	// SentAt is when the look was made.
 	SentAt time.Time
+	// epoch is that of the worker's state.
+	epoch uint64
+}
+
+// staleAfter is what an answer to a look may take beyond its wait. One that lay
+// in a suspended process for longer tells what was, not what is.
+const staleAfter = 400 * time.Millisecond
+
+// stale reports whether the answer to a look no longer counts.
+func (l Look) stale(now time.Time, epoch uint64) bool {
+	return l.epoch != epoch || now.Sub(l.SentAt) > l.Wait+staleAfter
 }
 
 // NextLook returns the next look, if there is a need.
@@ -157,7 +168,7 @@
 	if !c.Busy() {
 		return Look{}, false
 	}
-	look := Look{Worker: c.worker.info.ID, Token: c.worker.token, LastSeen: c.worker.lastSeen, SentAt: now}
+	look := Look{Worker: c.worker.info.ID, Token: c.worker.token, LastSeen: c.worker.lastSeen, SentAt: now, epoch: c.worker.epoch}
 	if c.mayRenew() {
 		look.Deadline = c.worker.deadline(now, c.settings.WorkerLease)
 		c.worker.promised(look.Deadline)
@@ -175,7 +186,7 @@
 	if !c.worker.synced || c.silent() {
 		return false
 	}
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.orphan {
 			return false
 		}
@@ -185,7 +196,7 @@
 
 // awaitsListing reports whether a listing would settle the fate of a run.
 func (c *Core) awaitsListing() bool {
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.phase == phaseDoubtful && !r.stopAnsweredAt.IsZero() {
 			return true
 		}
@@ -222,6 +233,9 @@
 	if !c.worker.known || look.Worker != c.worker.info.ID {
 		return
 	}
+	if look.stale(now, c.worker.epoch) {
+		return
+	}
 	c.worker.read(now, a.Clock)
 	switch a.Verdict {
 	case Accepted:
@@ -259,7 +273,7 @@
 		}
 		c.worker.lastSeen = e.Number
 		end := runs.End{Key: e.Key, How: e.How, Checkpoint: e.Checkpoint}
-		r := c.runs[e.Key]
+		r := c.runs.Get(e.Key)
 		if r == nil {
 			c.recent.add(end) // of a former process: an entry may still ask
 			continue
@@ -277,10 +291,10 @@
 
 func (c *Core) takeRunning(running []Running) {
 	for _, listed := range running {
-		r := c.runs[listed.Key]
+		r := c.runs.Get(listed.Key)
 		if r == nil {
 			r = &run{key: listed.Key, orphan: true, phase: phaseOrdered, orderedAt: c.now}
-			c.runs[listed.Key] = r
+			c.runs.Put(listed.Key, r)
 			c.note("orphan", r, runs.NoReason)
 		}
 		if r.phase == phaseWaiting {
@@ -300,7 +314,7 @@
 	for _, r := range running {
 		listed[r.Key] = true
 	}
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if listed[r.key] {
 			continue
 		}
--- a/core/runner/pace.go
+++ b/core/runner/pace.go
@@ -65,7 +65,7 @@
 func (c *Core) slowness() int {
 	c.pace.decay(c.now)
 	ran, estimated := c.pace.ran+pacePrior, c.pace.estimated+pacePrior
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.phase != phaseRunning || r.start.Estimate <= 0 || r.percentAt.Sub(r.confirmedAt) < minProgress {
 			continue
 		}
@@ -131,7 +131,7 @@
 // freeings returns the next expected ends, soonest first.
 func (c *Core) freeings() []runs.Freeing {
 	var list []runs.Freeing
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.phase != phaseWaiting && !r.orphan {
 			list = append(list, runs.Freeing{After: int(c.remaining(r).Milliseconds()), CPU: r.need.CPU})
 		}
@@ -143,7 +143,7 @@
 // progress lists an entry's runs that take much longer than estimated.
 func (c *Core) progress(incarnation uint64) []runs.Progress {
 	var list []runs.Progress
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.owner.Incarnation != incarnation || r.orphan {
 			continue
 		}
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -70,7 +70,7 @@
 
 // admit takes a start into the queue or refuses it.
 func (c *Core) admit(l *link, s *runs.Start, sentAt int64) {
-	if c.runs[s.Key] != nil {
+	if c.runs.Get(s.Key) != nil {
 		return // a repeated order
 	}
 	r := &run{
@@ -82,7 +82,7 @@
 		c.finish(r, runs.End{Key: r.key, How: runs.Refused, Reason: reason})
 		return
 	}
-	c.runs[r.key] = r
+	c.runs.Put(r.key, r)
 	c.queue.add(r)
 }
 
@@ -176,7 +176,7 @@
 
 // stopAsked handles an entry's request to end a run.
 func (c *Core) stopAsked(l *link, key runs.Key) {
-	r := c.runs[key]
+	r := c.runs.Get(key)
 	if r == nil {
 		c.answerUnknown(l, key)
 		return
@@ -202,7 +202,7 @@
 
 // retryStops repeats stops that have had no effect.
 func (c *Core) retryStops() {
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.stopReason != runs.NoReason && c.now.Sub(r.stopOrderedAt) >= retryStopAfter {
 			c.orderStop(r)
 		}
@@ -211,11 +211,11 @@
 
 // finish removes a run that is certainly over and tells its entry.
 func (c *Core) finish(r *run, end runs.End) {
-	delete(c.runs, r.key)
+	c.runs.Delete(r.key)
 	c.loadChanged = true
 	c.recent.add(end)
 	c.note("end "+end.How.String(), r, end.Reason)
-	for _, l := range c.links {
+	for l := range c.links.Values() {
 		if l.entry.Incarnation == r.owner.Incarnation {
 			l.out.Ends = append(l.out.Ends, end)
 			l.dirty = true
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -31,6 +31,8 @@
 	candidateClock int64
 	// leftAt is when the incarnation said that it ends; its runs may need a moment.
 	leftAt time.Time
+	// epoch rises whenever what was known of the worker's runs no longer holds.
+	epoch uint64
 	// unanswered counts the looks in a row that got no answer.
 	unanswered int
 	// former are incarnations that are over; announcements of them came late.
@@ -137,7 +139,7 @@
 
 // endAll reports all runs as over: they are not at the worker any more.
 func (c *Core) endAll(reason runs.Reason) {
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.phase == phaseWaiting {
 			c.queue.remove(r)
 			c.finish(r, runs.End{Key: r.key, How: runs.Refused, Reason: reason})
@@ -206,6 +208,7 @@
 		return
 	}
 	c.worker.synced = false
+	c.worker.epoch++
 	c.endAll(runs.NoWorker)
 	c.workerChanged()
 }
@@ -213,7 +216,7 @@
 // workerChanged has all entries told of the worker.
 func (c *Core) workerChanged() {
 	c.loadChanged = true
-	for _, l := range c.links {
+	for l := range c.links.Values() {
 		c.tellWorker(l)
 	}
 }
@@ -236,16 +239,16 @@
 	if !c.worker.known && len(c.worker.former) == 0 {
 		return // a new process that has not heard of its worker cannot know
 	}
-	for id, owned := range c.pendingOwned {
-		delete(c.pendingOwned, id)
+	for id, owned := range c.pendingOwned.All() {
+		c.pendingOwned.Delete(id)
 		for _, o := range owned {
-			c.reconcileRun(c.links[id], o)
+			c.reconcileRun(c.links.Get(id), o)
 		}
 	}
 }
 
 func (c *Core) reconcileRun(l *link, o runs.Owned) {
-	r := c.runs[o.Key]
+	r := c.runs.Get(o.Key)
 	switch {
 	case r == nil:
 		c.answerUnknown(l, o.Key)
@@ -264,7 +267,7 @@
 	if !c.worker.synced || c.now.Sub(c.worker.syncedAt) < c.settings.AdoptWithin {
 		return
 	}
-	for _, r := range c.runs {
+	for r := range c.runs.Values() {
 		if r.orphan {
 			c.end(r, runs.NoLease)
 		}
