--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -140,11 +140,10 @@
 	byTask map[string]*task
 	learn  estimates
 	// typical is the median slowness of each service's workers.
-	typical      map[string]float64
-	settledAt    time.Time
-	now          time.Time
-	drainingSelf bool
-	out          Output
+	typical   map[string]float64
+	settledAt time.Time
+	now       time.Time
+	out       Output
 }
 
 // New returns a core without agents.
@@ -214,7 +213,4 @@
 	return n
 }
 
-// Drain refuses new jobs for which nothing was started.
-func (c *Core) Drain() { c.drainingSelf = true }
-
 func (c *Core) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -86,12 +86,15 @@
 // Submit handles a new job, or one that was sent again.
 func (c *Core) Submit(now time.Time, r *Request) {
 	c.Now(now)
-	if old := c.jobs.Get(r.Job); old != nil {
-		c.attach(old, r)
+	if now.Before(c.settledAt) {
+		// What is read right after a suspension may have been sent long before, by
+		// a caller that has gone elsewhere since.
+		c.refuse(r.ID, refusal{errkind.Draining, "settling", retrySoon})
+		c.note(Note{Event: "refuse", Job: r.Job, Queue: r.Queue.Name, Version: r.Version, Reason: "settling"})
 		return
 	}
-	if now.Before(c.settledAt) || c.drainingSelf {
-		c.refuse(r.ID, refusal{errkind.Draining, "settling", retrySoon})
+	if old := c.jobs.Get(r.Job); old != nil {
+		c.attach(old, r)
 		return
 	}
 	j := c.newJob(r)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -96,11 +96,16 @@
 	c.loseWorker()
 	c.worker = workerState{
 		info: info, known: true, token: clock, clock: clock, readAt: c.now, former: c.worker.former,
+		// A former agent process may have taken a lease a moment ago, with other settings.
+		promisedUntil: clock + formerLeases*c.settings.WorkerLease.Milliseconds(),
 	}
 	c.pace = pace{}
 	c.workerChanged()
 }
 
+// formerLeases is how many of this process's leases a former one may have taken.
+const formerLeases = 2
+
 // replaced handles that the present incarnation is over.
 func (c *Core) replaced() {
 	next, clock := c.worker.candidate, c.worker.candidateClock
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -30,10 +30,10 @@
 		}
 	},
 	"agent frozen": func(w *world) {
-		w.agents[w.rand.IntN(len(w.agents))].frozen = w.now.Add(time.Duration(w.rand.IntN(3000)) * time.Millisecond)
+		w.agents[w.rand.IntN(len(w.agents))].freeze(time.Duration(w.rand.IntN(3000)) * time.Millisecond)
 	},
 	"entry frozen": func(w *world) {
-		w.entries[w.rand.IntN(len(w.entries))].frozen = w.now.Add(time.Duration(w.rand.IntN(3000)) * time.Millisecond)
+		w.entries[w.rand.IntN(len(w.entries))].freeze(time.Duration(w.rand.IntN(3000)) * time.Millisecond)
 	},
 	"links reset": func(w *world) {
 		for _, l := range w.agents[w.rand.IntN(len(w.agents))].links {
--- a/core/schedule/world_test.go
+++ b/core/schedule/world_test.go
@@ -182,6 +182,13 @@
 	dead   bool
 }
 
+// freeze suspends the process for a time, or longer if it is frozen already.
+func (p *process) freeze(d time.Duration) {
+	if until := p.w.now.Add(d); until.After(p.frozen) {
+		p.frozen = until
+	}
+}
+
 // deliver has the process handle something, after it wakes if it is frozen. What
 // is meant for a former life is lost.
 func (p *process) deliver(d time.Duration, do func()) {
@@ -451,6 +458,7 @@
 		return
 	}
 	w.attempts[job]++
+	w.tell("caller sends %s to %s", job, e.address)
 	e.nextID++
 	r := &request{id: batch.RequestID(e.nextID), job: job}
 	life := e.life
@@ -494,6 +502,7 @@
 			}
 		case !w.now.Before(given):
 			delete(e.open, r.id)
+			w.tell("caller gives %s up at %s", r.job, e.address)
 			e.deliver(3*time.Millisecond, func() {
 				e.core.Cancel(w.now, r.id)
 				e.perform()
