explain, metrics, bounded logs; agents recall their worker from the registry

Cause: after a restart an agent could do nothing until its worker's next announcement, up to 1.5 s. On-call engineers had log lines without sub-second times and no tool.

--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
@@ -15,6 +16,7 @@
 	"peridotpick.example/platform/store"
 	"peridotpick.example/platform/worker"
 	"peridotpick.example/service/runner"
+	"peridotpick.example/service/telemetry"
 	"peridotpick.example/service/transport"
 )
 
@@ -34,14 +36,17 @@
 	sink := logs.New(os.Stdout, zerolog.InfoLevel)
 	defer func() { _ = sink.Close() }()
 	log := sink.For(logs.Agent)
+	registry := metrics.NewRegistry()
 	a := runner.New(superviseSettings(file), runner.Deps{
 		Logs: sink, Transport: transport.New(nil), Registry: store.New(file.Platform.Address),
-		Worker: worker.New(file.BackendServer, lookWait, log),
+		Metrics: registry,
+		Worker:  worker.New(file.BackendServer, lookWait, log),
 	})
 	announcements := worker.NewAnnouncements(file.Name, a, log)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, _ := errgroup.WithContext(work)
+	group.Go(func() error { return telemetry.Serve(work, file.Metrics(), registry) })
 	group.Go(func() error { return announcements.Serve(work, file.Listen.Announce) })
 	group.Go(func() error {
 		defer stop()
--- a/cmd/peridotpick/dispatch.go
+++ b/cmd/peridotpick/dispatch.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
@@ -15,6 +16,7 @@
 	"peridotpick.example/platform/ingress"
 	"peridotpick.example/platform/store"
 	"peridotpick.example/service/batch"
+	"peridotpick.example/service/telemetry"
 	"peridotpick.example/service/transport"
 )
 
@@ -33,8 +35,9 @@
 	}
 	sink := logs.New(os.Stdout, zerolog.InfoLevel)
 	defer func() { _ = sink.Close() }()
+	registry := metrics.NewRegistry()
 	e, err := batch.New(dispatchSettings(file), batch.Deps{
-		Logs: sink, Transport: transport.New(nil), Store: store.New(file.Platform.Address),
+		Logs: sink, Transport: transport.New(nil), Store: store.New(file.Platform.Address), Metrics: registry,
 	})
 	if err != nil {
 		return err
@@ -44,6 +47,7 @@
 	defer stop()
 	group, _ := errgroup.WithContext(work)
 	group.Go(func() error { return e.Run(work) })
+	group.Go(func() error { return telemetry.Serve(work, file.Metrics(), registry) })
 	group.Go(func() error {
 		defer stop()
 		return callers.Serve(ctx, file.Listen.Callers, file.Listen.Ready, file.Grace())
--- a/cmd/peridotpick/main.go
+++ b/cmd/peridotpick/main.go
@@ -31,7 +31,7 @@
 		Name:  "peridotpick",
 		Usage: "dispatcher for sub-second tasks",
 		Commands: []*cli.Command{
-			entryCommand(), dispatchCommand(), checkCommand(), demoCommand(), jobCommand(), callCommand(),
+			entryCommand(), dispatchCommand(), explainCommand(), checkCommand(), demoCommand(), jobCommand(), callCommand(),
 			workerCommand(), configCommand(), loadCommand(), capacityCommand(), platformCommand(), backendCommand(),
 		},
 	}
--- a/common/logs/logs.go
+++ b/common/logs/logs.go
@@ -46,6 +46,11 @@
 // its processor time.
 const waitForLines = time.Duration(0)
 
+// timeFormat tells lines of several processes apart to the microsecond.
+const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns a sink that writes JSON lines of at least the given level to w.
 func New(w io.Writer, level zerolog.Level) *Sink {
 	s := new(Sink)
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -258,6 +258,9 @@
 	c.workerChanged()
 }
 
+// Runs returns the number of runs, those that wait included.
+func (c *Core) Runs() int { return c.runs.Len() }
+
 // Idle reports whether nothing runs.
 func (c *Core) Idle() bool { return c.runs.Len() == 0 }
 
--- a/core/runner/core_test.go
+++ b/core/runner/core_test.go
@@ -296,3 +296,31 @@
 	r.is.Equal(r.queue[1].key, key("c"))
 	r.is.Equal(r.waitingCPU(), []int{0, 0, 1000, 2000, 0})
 }
+
+func TestRecalledWorkerIsLookedAtWithATokenOfItsOwnClock(t *testing.T) {
+	is := is.New(t)
+	for _, first := range []Verdict{RefusedFence, Accepted} {
+		c := New(newRig(t).settings)
+		c.Recalled(start, worker("w1"))
+		look, _ := c.NextLook(start)
+		is.Equal(look.Token, int64(0))
+		c.Looked(start, look, Answer{Verdict: first, Clock: 700000}, Listing{})
+		is.Equal(c.worker.synced, false)
+		look, _ = c.NextLook(after(1))
+		is.Equal(look.Token, int64(700000))
+		c.Looked(after(1), look, Answer{Verdict: Accepted, Clock: 700001}, Listing{Running: []Running{{Key: key("t1")}}})
+		c.Tick(after(2))
+		is.True(c.worker.synced) // what the former process promised may still hold
+	}
+}
+
+func TestRecalledWorkerThatIsOverIsForgotten(t *testing.T) {
+	is := is.New(t)
+	c := New(newRig(t).settings)
+	c.Recalled(start, worker("w1"))
+	look, _ := c.NextLook(start)
+	c.Looked(start, look, Answer{Verdict: WrongIncarnation}, Listing{})
+	is.Equal(c.Busy(), false)
+	is.Equal(c.Announced(after(1), worker("w1"), 5), false)
+	is.True(c.Announced(after(1), worker("w2"), 5))
+}
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -255,6 +255,10 @@
 	default:
 		return
 	}
+	if c.worker.token == 0 {
+		c.worker.token = a.Clock // the former process's orders must be shut out first
+		return
+	}
 	c.takeEnds(listing.Ended)
 	c.takeRunning(listing.Running)
 	c.settle(look, listing.Running)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -25,6 +25,9 @@
 	readAt time.Time
 	// promisedUntil is the latest deadline ever sent, on the worker's clock.
 	promisedUntil int64
+	// formerLease is what a former agent process may have promised beyond the first
+	// reading of the clock, in ms.
+	formerLease int64
 	// candidate is another incarnation that has announced itself. The announcement
 	// may be an old one that came late, so the worker is asked who it is.
 	candidate      runs.Worker
@@ -44,10 +47,14 @@
 
 // read takes a reading of the worker's clock.
 func (w *workerState) read(now time.Time, clock int64) {
-	if clock > w.clock {
-		w.clock = clock
-		w.readAt = now
+	if clock <= w.clock {
+		return
+	}
+	if w.clock == 0 {
+		w.promised(clock + w.formerLease)
 	}
+	w.clock = clock
+	w.readAt = now
 }
 
 // earliest returns the lowest value that the worker's clock may show.
@@ -91,14 +98,24 @@
 	return true
 }
 
+// Recalled handles what a former process of this agent was told by its worker.
+// The first look, without a token, tells the worker's clock or that the
+// incarnation is over.
+func (c *Core) Recalled(now time.Time, info runs.Worker) {
+	c.now = now
+	if !c.worker.known && !c.worker.former[info.ID] {
+		c.replaceWorker(info, 0)
+	}
+}
+
 // replaceWorker begins with a new incarnation. All runs of the former are over.
 func (c *Core) replaceWorker(info runs.Worker, clock int64) {
 	c.loseWorker()
 	c.worker = workerState{
-		info: info, known: true, token: clock, clock: clock, readAt: c.now, former: c.worker.former,
-		// A former agent process may have taken a lease a moment ago, with other settings.
-		promisedUntil: clock + formerLeases*c.settings.WorkerLease.Milliseconds(),
+		info: info, known: true, token: clock, former: c.worker.former,
+		formerLease: formerLeases * c.settings.WorkerLease.Milliseconds(),
 	}
+	c.worker.read(c.now, clock)
 	c.pace = pace{}
 	c.workerChanged()
 }
--- a/core/schedule/world_test.go
+++ b/core/schedule/world_test.go
@@ -214,6 +214,8 @@
 	worker  *worker
 	looking bool
 	links   map[runner.LinkID]*simLink
+	// known is what the registry remembers of the worker.
+	known runs.Worker
 }
 
 // simLink joins an agent and an entry. Both ends see it close unless it is silent.
@@ -245,6 +247,10 @@
 	})
 	a.ticks()
 	a.announce()
+	if a.known.ID != "" {
+		known := a.known
+		a.deliver(10*time.Millisecond, func() { a.event(func() { a.core.Recalled(a.w.now, known) }) })
+	}
 }
 
 func (a *agentProcess) ticks() {
@@ -264,6 +270,7 @@
 				late = time.Duration(a.w.rand.IntN(3000)) * time.Millisecond
 			}
 			a.deliver(late, func() {
+				a.known = info
 				a.event(func() { a.core.Announced(a.w.now, info, clock) })
 			})
 		}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -9,9 +9,11 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -20,6 +22,7 @@
 	"peridotpick.example/common/logs"
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
+	"peridotpick.example/service/telemetry"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
@@ -48,6 +51,7 @@
 	Logs      *logs.Sink
 	Transport *transport.Transport
 	Store     Store
+	Metrics   metrics.Registry
 }
 
 // Settings of an entry.
@@ -84,6 +88,7 @@
 	deps     Deps
 	log      zerolog.Logger
 	routeLog zerolog.Logger
+	budget   *logs.Budget
 	self     runs.Entry
 	core     *core.Core
 	events   chan event
@@ -108,8 +113,9 @@
 	}
 	e := &Entry{
 		settings: s, deps: deps, log: deps.Logs.For(logs.Entry), routeLog: deps.Logs.For(logs.Route),
-		self: runs.Entry{Address: s.Address, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.Core.DataCentre},
-		core: core.New(s.Core), events: make(chan event, eventRing), links: make(map[core.LinkID]*link),
+		budget: logs.NewBudget(linesPerSecond),
+		self:   runs.Entry{Address: s.Address, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.Core.DataCentre},
+		core:   core.New(s.Core), events: make(chan event, eventRing), links: make(map[core.LinkID]*link),
 		waiting: make(map[core.RequestID]chan core.Answer), listener: listener,
 	}
 	e.work, e.abort = context.WithCancel(context.Background())
@@ -178,6 +184,7 @@
 			e.drainEvents(now)
 		case <-timer.C:
 			e.core.Tick(boottime.Now())
+			e.publish()
 		}
 		e.perform(e.core.Flush(boottime.Now()))
 		e.workers.Store(int64(e.core.Workers()))
@@ -227,10 +234,23 @@
 	e.logNotes(out.Notes)
 }
 
+// linesPerSecond bounds the lines of one event: about twice what an entry writes
+// at the highest load of today's deployments.
+const linesPerSecond = 400
+
 func (e *Entry) logNotes(notes []core.Note) {
 	for i := range notes {
 		n := &notes[i]
-		line := e.routeLog.Info().Str("job", n.Job).Str("queue", n.Queue).Uint64("config", n.Version)
+		e.count(n)
+		ok, leftOut := e.budget.Allow(n.Event+n.How.String(), boottime.Now())
+		if !ok {
+			continue
+		}
+		line := e.routeLog.Info()
+		if leftOut > 0 {
+			line.Int("left_out", leftOut)
+		}
+		line.Str("job", n.Job).Str("queue", n.Queue).Uint64("config", n.Version)
 		if n.Key.Task != "" {
 			line.Str("task", n.Key.Task).Uint32("run", n.Key.Run)
 		}
@@ -242,6 +262,29 @@
 	}
 }
 
+// count keeps the metrics of decisions.
+func (e *Entry) count(n *core.Note) {
+	name := strings.ReplaceAll(n.Event, " ", "_")
+	switch n.Event {
+	case "end":
+		name = "run." + n.How.String()
+	case "refuse", "give up":
+		name += "." + strings.ReplaceAll(n.Reason, " ", "_")
+	case "done":
+		telemetry.Histogram("job.ms", e.deps.Metrics).Update(n.Age.Milliseconds())
+	}
+	telemetry.Count("decisions."+name, e.deps.Metrics)
+}
+
+// publish keeps the metrics of the present state.
+func (e *Entry) publish() {
+	telemetry.Gauge("jobs", e.deps.Metrics, int64(e.core.Jobs()))
+	telemetry.Gauge("workers", e.deps.Metrics, e.workers.Load())
+	telemetry.Gauge("links", e.deps.Metrics, int64(len(e.links)))
+	telemetry.Gauge("config.version", e.deps.Metrics, int64(e.configVersion()))
+	telemetry.Gauge("logs.dropped", e.deps.Metrics, e.deps.Logs.Dropped())
+}
+
 // Submit hands a job in and waits for its answer, or until ctx ends because the
 // caller has gone.
 func (e *Entry) Submit(ctx context.Context, r core.Request, wait time.Duration) core.Answer {
--- /dev/null
+++ b/service/explain/explain_test.go
@@ -0,0 +1,48 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const entryLog = `noise that is no JSON about 00000000000000aa
+{"level":"info","part":"route","job":"00000000000000aa","queue":"q","wait":3,"time":"2026-04-22T02:34:53.000001Z","message":"route: admit"}
+{"level":"info","part":"route","job":"00000000000000ab","time":"2026-04-22T02:34:53.000002Z","message":"route: refuse"}
+{"level":"info","part":"route","job":"00000000000000aa","task":"00000000000000aa.0.0.0","run":1,"how":"stopped","reason":"no-worker","worker":"w1","time":"2026-04-22T02:34:53.5Z","message":"route: end"}
+{"level":"info","part":"route","job":"00000000000000aa","reason":"deadline","time":"2026-04-22T02:34:54.5Z","message":"route: give up"}
+{"level":"info","part":"route","job":"00000000000000aa","tru`
+
+const agentLog = `  10.2 side-1 {"level":"info","part":"agent","task":"00000000000000aa.0.0.0","run":1,"time":"2026-04-22T02:34:53.4Z","message":"agent: end stopped"}
+`
+
+func TestTellsTheStoryInOrderAndItsEnd(t *testing.T) {
+	is := is.New(t)
+	var s Story
+	is.NoErr(s.Read("entry.log", strings.NewReader(entryLog), "00000000000000aa"))
+	is.NoErr(s.Read("agent.log", strings.NewReader(agentLog), "00000000000000aa"))
+	var events []string
+	for _, l := range s.Lines {
+		events = append(events, l.Source+" "+l.Event)
+	}
+	is.Equal(events, []string{"entry.log route: admit", "side-1 agent: end stopped", "entry.log route: end", "entry.log route: give up"})
+	is.Equal(s.Foreign, 2)
+	end, ok := s.End()
+	is.True(ok)
+	is.Equal(end.Fields["reason"], "deadline")
+	is.Equal(s.Causes(), map[string]int{"stopped no-worker on w1": 1})
+	var b strings.Builder
+	is.NoErr(s.Print(&b))
+	is.True(strings.Contains(b.String(), "ended: route: give up reason=deadline"))
+}
+
+func TestPassesOverHugeLines(t *testing.T) {
+	is := is.New(t)
+	var s Story
+	log := strings.Repeat("x", 3*maxLine) + "\n" + agentLog
+	is.NoErr(s.Read("a", strings.NewReader(log), "00000000000000aa"))
+	is.Equal(len(s.Lines), 1)
+	_, ok := s.End()
+	is.Equal(ok, false)
+}
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -8,14 +8,17 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"peridotpick.example/common/boottime"
 	"peridotpick.example/common/logs"
 	core "peridotpick.example/core/runner"
+	"peridotpick.example/service/telemetry"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
@@ -27,9 +30,14 @@
 	Look(core.Look) (core.Answer, core.Listing)
 }
 
-// Registry lists entries for an agent that knows none.
+// Registry keeps what agents and entries must find again.
 type Registry interface {
+	// Entries lists entries for an agent that knows none.
 	Entries(ctx context.Context) ([]runs.Entry, error)
+	// Remember keeps what a worker said of itself, under its agent's name.
+	Remember(ctx context.Context, w runs.Worker) error
+	// Recall returns what was remembered last; its ID is empty if nothing was.
+	Recall(ctx context.Context, agent string) (runs.Worker, error)
 }
 
 // Deps are what an agent needs from outside.
@@ -38,6 +46,7 @@
 	Transport *transport.Transport
 	Worker    Worker
 	Registry  Registry
+	Metrics   metrics.Registry
 }
 
 // Settings of an agent.
@@ -81,21 +90,24 @@
 	settings Settings
 	deps     Deps
 	log      zerolog.Logger
+	budget   *logs.Budget
 	core     *core.Core
 	events   chan event
 	starts   chan core.Order
 	stops    chan core.Order
 	lookNow  chan struct{}
 	links    map[core.LinkID]*link
-	dir      *directory
-	work     context.Context
-	abort    context.CancelFunc
+	// remembered is the worker as the registry has it; the announcements' goroutine owns it.
+	remembered runs.Worker
+	dir        *directory
+	work       context.Context
+	abort      context.CancelFunc
 }
 
 // New returns an agent; Run starts it.
 func New(s Settings, deps Deps) *Agent {
 	a := &Agent{
-		settings: s, deps: deps, log: deps.Logs.For(logs.Agent), core: core.New(s.Core),
+		settings: s, deps: deps, log: deps.Logs.For(logs.Agent), budget: logs.NewBudget(linesPerSecond), core: core.New(s.Core),
 		events: make(chan event, eventRing), starts: make(chan core.Order, orderRing),
 		stops: make(chan core.Order, orderRing), lookNow: make(chan struct{}, 1),
 		links: make(map[core.LinkID]*link),
@@ -117,6 +129,7 @@
 	}
 	group.Go(func() error { return a.carry(work, a.stops) })
 	group.Go(func() error { return a.dir.run(work) })
+	group.Go(func() error { return a.recall(work) })
 	select {
 	case <-ctx.Done():
 		a.drain(work)
@@ -152,6 +165,41 @@
 			a.log.Warn().Str("worker", info.ID).Msg("agent: announcement of an incarnation that is over")
 		}
 	})
+	a.remember(info)
+}
+
+// remember keeps the worker's word in the registry, so that the next process of
+// this agent need not wait for an announcement.
+func (a *Agent) remember(info runs.Worker) {
+	if info.ID == a.remembered.ID && info.Draining == a.remembered.Draining {
+		return
+	}
+	a.remembered = info
+	go func() {
+		ctx, cancel := context.WithTimeout(a.work, registryTimeout)
+		defer cancel()
+		if err := a.deps.Registry.Remember(ctx, info); err != nil {
+			a.log.Warn().Err(err).Str("worker", info.ID).Msg("agent: worker not remembered")
+		}
+	}()
+}
+
+// recall takes the worker's word from the registry. The worker itself tells at
+// the first look whether that incarnation is still there.
+func (a *Agent) recall(ctx context.Context) error {
+	asking, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	info, err := a.deps.Registry.Recall(asking, a.settings.Name)
+	if err != nil {
+		a.log.Warn().Err(err).Msg("agent: the registry does not tell the worker")
+		return nil
+	}
+	if info.ID == "" {
+		return nil
+	}
+	a.log.Info().Str("worker", info.ID).Msg("agent: worker recalled from the registry")
+	a.post(func(c *core.Core, now time.Time) { c.Recalled(now, info) })
+	return nil
 }
 
 // Left takes the worker's word that an incarnation ends.
@@ -183,6 +231,7 @@
 			a.drainEvents(now)
 		case <-timer.C:
 			a.core.Tick(boottime.Now())
+			a.publish()
 		}
 		a.perform(a.core.Flush(boottime.Now()))
 		a.markBusy()
@@ -254,12 +303,35 @@
 		}
 	}
 	for i := range out.Notes {
-		n := &out.Notes[i]
-		a.log.Info().Str("task", n.Key.Task).Uint32("run", n.Key.Run).Str("entry", n.Entry).
-			Stringer("reason", n.Reason).Dur("age", n.Age).Msg("agent: " + n.Event)
+		a.logNote(&out.Notes[i])
 	}
 }
 
+// linesPerSecond bounds the lines of one event: about four times what an agent
+// writes at the highest load of today's deployments.
+const linesPerSecond = 200
+
+func (a *Agent) logNote(n *core.Note) {
+	telemetry.Count("decisions."+strings.ReplaceAll(n.Event, " ", "_"), a.deps.Metrics)
+	ok, leftOut := a.budget.Allow(n.Event, boottime.Now())
+	if !ok {
+		return
+	}
+	line := a.log.Info()
+	if leftOut > 0 {
+		line.Int("left_out", leftOut)
+	}
+	line.Str("task", n.Key.Task).Uint32("run", n.Key.Run).Str("entry", n.Entry).
+		Stringer("reason", n.Reason).Dur("age", n.Age).Msg("agent: " + n.Event)
+}
+
+// publish keeps the metrics of the present state.
+func (a *Agent) publish() {
+	telemetry.Gauge("links", a.deps.Metrics, int64(len(a.links)))
+	telemetry.Gauge("runs", a.deps.Metrics, int64(a.core.Runs()))
+	telemetry.Gauge("logs.dropped", a.deps.Metrics, a.deps.Logs.Dropped())
+}
+
 // answered reports the outcome of an order without waiting for the loop.
 func (a *Agent) answered(o core.Order, answer core.Answer) {
 	report := func(c *core.Core, now time.Time) { c.Ordered(now, o, answer) }
--- /dev/null
+++ b/service/telemetry/telemetry.go
@@ -0,0 +1,90 @@
+// Package telemetry serves a process's metrics as text that Prometheus reads.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+)
+
+// readHeaderTimeout bounds the time in which a request must arrive.
+const readHeaderTimeout = 5 * time.Second
+
+// Path is where the metrics are served.
+const Path = "/metrics"
+
+// quantiles are those that histograms are shown by.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Serve serves a registry at an IP:port until ctx ends.
+func Serve(ctx context.Context, address string, registry metrics.Registry) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for metrics on %s", address)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(Path, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		Write(w, registry)
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(l); ctx.Err() == nil {
+		return eris.Wrap(err, "serve metrics")
+	}
+	return nil
+}
+
+// Write writes all metrics of a registry. A reader that goes away is no error.
+func Write(w io.Writer, registry metrics.Registry) {
+	registry.Each(func(name string, metric any) {
+		name = "peridotpick_" + strings.NewReplacer(".", "_", "-", "_", " ", "_").Replace(name)
+		switch m := metric.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(w, "# TYPE %s counter\n%s %d\n", name, name, m.Count())
+		case metrics.Gauge:
+			_, _ = fmt.Fprintf(w, "# TYPE %s gauge\n%s %d\n", name, name, m.Value())
+		case metrics.Histogram:
+			writeHistogram(w, name, m.Snapshot())
+		}
+	})
+}
+
+func writeHistogram(w io.Writer, name string, h metrics.Histogram) {
+	_, _ = fmt.Fprintf(w, "# TYPE %s summary\n", name)
+	for i, value := range h.Percentiles(quantiles) {
+		_, _ = fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", name, quantiles[i], value)
+	}
+	_, _ = fmt.Fprintf(w, "%s_sum %d\n%s_count %d\n", name, h.Sum(), name, h.Count())
+}
+
+// sampleSize and sampleAlpha make histograms favour the last minutes.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015
+)
+
+// Histogram returns the registry's histogram of a name.
+func Histogram(name string, registry metrics.Registry) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
+
+// Count raises the registry's counter of a name.
+func Count(name string, registry metrics.Registry) {
+	metrics.GetOrRegisterCounter(name, registry).Inc(1)
+}
+
+// Gauge sets the registry's gauge of a name.
+func Gauge(name string, registry metrics.Registry, value int64) {
+	metrics.GetOrRegisterGauge(name, registry).Update(value)
+}
