--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -10,9 +10,11 @@
 
 // Times of the exchange between entries.
 const (
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout is far above a round trip; a machine that is just starting leaves
+	// the first attempt without an answer.
+	dialTimeout = 200 * time.Millisecond
 	retryMin    = 100 * time.Millisecond
-	retryMax    = time.Second
+	retryMax    = 300 * time.Millisecond
 	// gossipEvery is the longest silence between two entries, silentAfter the
 	// silence after which a stream is closed and opened anew.
 	gossipEvery = 400 * time.Millisecond
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -10,9 +10,11 @@
 
 // Times of the connectors and of the search for entries.
 const (
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout is far above a round trip; a machine that is just starting leaves
+	// the first attempt without an answer.
+	dialTimeout = 200 * time.Millisecond
 	retryMin    = 50 * time.Millisecond
-	retryMax    = 500 * time.Millisecond
+	retryMax    = 300 * time.Millisecond
 	// forgetAfter is how long an entry may be out of reach before its connector ends.
 	forgetAfter = 10 * time.Second
 	// lonelyCheck is how often an agent without links looks for entries elsewhere.
