Overload: learned waits, spread choices, looks beside a lost one, rarer probes

Ruled out: processor time (0.15 of a core at most), reach. Change: a next look after 40 ms; random spread among equal workers; real against predicted waits learned and used in admission and cost; probes shared by the entries that are alive.

--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -59,7 +59,7 @@
 const (
 	// lookWait is how long a look at the worker waits for an end. It bounds the age
 	// of what is known of the progress of runs.
-	lookWait = 100 * time.Millisecond
+	lookWait = 60 * time.Millisecond
 	// adoptWithin is what an entry needs to find a new agent process.
 	adoptWithin = 250 * time.Millisecond
 	beat        = 100 * time.Millisecond
--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -16,19 +16,14 @@
 // retrySoon is when a caller may come back after a passing refusal.
 const retrySoon = time.Second
 
-// waitSpread is how many times its prediction a wait may take: in measured
-// overload three waits of four stayed below it. A job that is taken and ends late
-// uses room that others needed to end in time.
-const waitSpread = 1.6
-
 // admit decides whether a job is taken. What cannot end in time is refused
-// before anything of it starts.
+// before anything of it starts: it would use room that others need to end in time.
 func (c *Core) admit(j *job) (plan, *refusal) {
 	p := c.planJob(j)
 	switch {
 	case len(p.places) == 0 && p.missing > 0:
 		return p, &refusal{errkind.Overloaded, "no worker", retrySoon}
-	case time.Duration(waitSpread*float64(p.delay)) > p.slack-c.settings.Overhead:
+	case c.waits.likely(p.delay) > p.slack-c.settings.Overhead:
 		return p, &refusal{errkind.Overloaded, "no room in time", retrySoon}
 	}
 	return p, nil
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -18,6 +18,7 @@
 package batch
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"peridotpick.example/common/errkind"
@@ -29,6 +30,8 @@
 
 // Settings of a core.
 type Settings struct {
+	// Seed makes entries choose differently among equal workers.
+	Seed uint64
 	// DataCentre is the entry's own.
 	DataCentre string
 	// OwnerLease is the lease that each message grants at an agent.
@@ -139,6 +142,10 @@
 	// byTask finds the job of a task.
 	byTask map[string]*task
 	learn  estimates
+	waits  waits
+	rand   *rand.Rand
+	// entries is the number of entries that are alive, this one included.
+	entries int
 	// typical is the median slowness of each service's workers.
 	typical   map[string]float64
 	settledAt time.Time
@@ -150,7 +157,7 @@
 func New(s Settings) *Core {
 	return &Core{
 		settings:  s,
-		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), learn: newEstimates(), typical: make(map[string]float64),
+		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), learn: newEstimates(), rand: rand.New(rand.NewPCG(s.Seed, 0)), entries: 1, typical: make(map[string]float64),
 	}
 }
 
@@ -199,6 +206,9 @@
 	c.moveSlow()
 }
 
+// Peers tells how many entries are alive, this one included.
+func (c *Core) Peers(entries int) { c.entries = max(entries, 1) }
+
 // Jobs returns the number of jobs that are not answered yet.
 func (c *Core) Jobs() int { return len(c.byRequest) }
 
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -54,6 +54,8 @@
 	worker   string
 	sentAt   time.Time
 	expected time.Duration
+	// expectedWait is the part of it before the start.
+	expectedWait time.Duration
 	// slow is set if its agent last reported that it takes too long.
 	slow      bool
 	remaining time.Duration
@@ -352,6 +354,7 @@
 	t.step.left--
 	t.job.left--
 	if end.Ran > 0 {
+		c.waits.observe(t.expectedWait, max(c.now.Sub(t.sentAt)-end.Ran-c.settings.Overhead/2, 0))
 		c.learn.observe(t.job.queue.Name, t.step.Estimate, end.Ran)
 	}
 	if t.job.left == 0 && !t.job.ended {
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -83,8 +83,9 @@
 		wait := c.waitFor(a, free, t.step.Need)
 		run := c.runTime(a, t)
 		cost := c.cost(a, t, wait, run)
-		if best == nil || cost < bestCost || cost == bestCost && free.CPU > bestFree {
-			best, bestWait, bestRun, bestCost, bestFree = a, wait, run, cost, free.CPU
+		room := c.spread(free.CPU)
+		if best == nil || cost < bestCost || cost == bestCost && room > bestFree {
+			best, bestWait, bestRun, bestCost, bestFree = a, wait, run, cost, room
 		}
 	}
 	if best == nil {
@@ -100,6 +101,15 @@
 	p.age = max(p.age, c.now.Sub(best.loadAt))
 }
 
+// spread varies the free room by which equal workers are told apart, by up to a
+// half. Otherwise all entries would choose the same worker until they hear of
+// each other's choice.
+func (c *Core) spread(cpu int) int {
+	return cpu * (spreadParts + c.rand.IntN(spreadParts)) / spreadParts
+}
+
+const spreadParts = 100
+
 // allowed reports whether a task may run on an agent's worker at all.
 func (c *Core) allowed(t *task, a *agent, tr *trial) bool {
 	s := t.step
@@ -165,7 +175,7 @@
 // cost is what the choice of a worker is judged by: the expected time to the
 // end. Workers on which the task has failed before come last.
 func (c *Core) cost(a *agent, t *task, wait, run time.Duration) time.Duration {
-	cost := wait + run
+	cost := c.waits.likely(wait) + run
 	if a.worker.DataCentre != c.settings.DataCentre {
 		cost += c.settings.CrossCost
 	}
@@ -228,8 +238,9 @@
 	// crawling is the slowness, against the typical worker, from which a worker
 	// counts as failing too: most jobs that go there end late.
 	crawling = 2.6
-	// probeEvery is the time between tasks that try a failing worker again.
-	probeEvery = 700 * time.Millisecond
+	// probeEvery is the time between tasks of all entries that try a failing worker
+	// again; each task tried there is delayed by its failure.
+	probeEvery = 350 * time.Millisecond
 )
 
 // unsound reports whether an agent's worker fails or crawls with all it starts.
@@ -242,7 +253,7 @@
 	if !c.unsound(a) {
 		return false
 	}
-	return c.now.Sub(a.probedAt) < probeEvery || tr.used != (room.Room{})
+	return c.now.Sub(a.probedAt) < time.Duration(c.entries)*probeEvery || tr.used != (room.Room{})
 }
 
 func (c *Core) failing(worker string) bool {
@@ -270,6 +281,7 @@
 	t.worker = a.worker.ID
 	t.sentAt = c.now
 	t.expected = pl.wait + pl.run
+	t.expectedWait = pl.wait
 	a.sent++
 	a.runs++
 	a.inFlight = append(a.inFlight, start{seq: a.sent, need: t.step.Need})
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -233,13 +233,14 @@
 	if !c.worker.known || look.Worker != c.worker.info.ID {
 		return
 	}
-	if look.stale(now, c.worker.epoch) {
+	if look.stale(now, c.worker.epoch) || look.SentAt.Before(c.worker.lookedAt) {
 		return
 	}
 	c.worker.read(now, a.Clock)
 	switch a.Verdict {
 	case Accepted:
 		c.worker.acknowledged = max(c.worker.acknowledged, look.LastSeen)
+		c.worker.lookedAt = look.SentAt
 		c.dropCandidate()
 		c.answered()
 	case WrongIncarnation, NotListening:
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -36,6 +36,9 @@
 	leftAt time.Time
 	// epoch rises whenever what was known of the worker's runs no longer holds.
 	epoch uint64
+	// lookedAt is when the newest look was made that was answered; answers of
+	// older ones tell what was.
+	lookedAt time.Time
 	// unanswered counts the looks in a row that got no answer.
 	unanswered int
 	// former are incarnations that are over; announcements of them came late.
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -111,10 +111,12 @@
 	if err != nil {
 		return nil, err
 	}
+	incarnation := uint64(time.Now().UnixNano())
+	s.Core.Seed = incarnation
 	e := &Entry{
 		settings: s, deps: deps, log: deps.Logs.For(logs.Entry), routeLog: deps.Logs.For(logs.Route),
 		budget: logs.NewBudget(linesPerSecond),
-		self:   runs.Entry{Address: s.Address, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.Core.DataCentre},
+		self:   runs.Entry{Address: s.Address, Incarnation: incarnation, DataCentre: s.Core.DataCentre},
 		core:   core.New(s.Core), events: make(chan event, eventRing), links: make(map[core.LinkID]*link),
 		waiting: make(map[core.RequestID]chan core.Answer), listener: listener,
 	}
--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	core "peridotpick.example/core/batch"
 	"peridotpick.example/wire/runs"
 )
 
@@ -257,6 +258,7 @@
 	if known && old.entry.Incarnation == from.Incarnation {
 		return
 	}
+	p.entry.post(func(c *core.Core, _ time.Time) { c.Peers(len(p.alive())) })
 	p.entry.log.Info().Str("peer", from.Address).Uint64("incarnation", from.Incarnation).Msg("entry: peer is alive")
 	p.entry.tellAgents(p.alive())
 }
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -65,7 +65,9 @@
 	eventRing  = 4096
 	orderRing  = 256
 	linkRing   = 1024
-	startLanes = 3
+	startLanes = 4
+	// lookSlots bounds the looks that are under way at a time.
+	lookSlots = 4
 )
 
 // Times of the loop.
@@ -76,6 +78,9 @@
 	tickIdle = 200 * time.Millisecond
 	// lookPause is the pause after a look that got no answer.
 	lookPause = 5 * time.Millisecond
+	// lookPatience is what an answer may take beyond the wait before the next look
+	// is made beside it.
+	lookPatience = 40 * time.Millisecond
 	// drainPoll is how often a draining agent looks whether it is idle.
 	drainPoll = 20 * time.Millisecond
 	// leaveNotice is the time given to entries to learn that the agent leaves.
@@ -357,6 +362,7 @@
 
 // look asks the worker what runs, as long as there is a need.
 func (a *Agent) look(ctx context.Context) error {
+	slots := make(chan struct{}, lookSlots)
 	for {
 		select {
 		case <-ctx.Done():
@@ -367,15 +373,34 @@
 		if !ok {
 			continue
 		}
-		answer, listing := a.deps.Worker.Look(look)
-		a.post(func(c *core.Core, now time.Time) { c.Looked(now, look, answer, listing) })
-		if answer.Verdict == core.NoAnswer {
-			a.log.Warn().Str("worker", look.Worker).Dur("wait", look.Wait).Msg("agent: the worker does not answer")
-			time.Sleep(lookPause)
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return nil
+		}
+		done := make(chan struct{})
+		go func() {
+			a.lookOnce(look)
+			<-slots
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(look.Wait + lookPatience):
+			// Its answer may be lost. Ends that happen meanwhile must not wait for it.
 		}
 	}
 }
 
+func (a *Agent) lookOnce(look core.Look) {
+	answer, listing := a.deps.Worker.Look(look)
+	a.post(func(c *core.Core, now time.Time) { c.Looked(now, look, answer, listing) })
+	if answer.Verdict == core.NoAnswer {
+		a.log.Warn().Str("worker", look.Worker).Dur("wait", look.Wait).Msg("agent: the worker does not answer")
+		time.Sleep(lookPause)
+	}
+}
+
 func (a *Agent) nextLook(ctx context.Context) (core.Look, bool) {
 	type next struct {
 		look core.Look
