--- a/core/batch/waits.go
+++ b/core/batch/waits.go
@@ -22,7 +22,7 @@
 	waitsPrior = 0.2
 	// waitSpread covers the spread around the mean: in measured overload three
 	// waits of four stayed below 1.6 times the expected one.
-	waitSpread = 1.6
+	waitSpread = 1.2
 	// maxBias bounds what was learned from a short disturbance.
 	maxBias = 3.0
 )
