Learned bias of waits up to 8

Cause: in overload predicted waits of 8 ms were real ones of 60: among 60 workers the smallest prediction is chosen, by ten entries at once. A bound of 3 let admission believe in 24 ms.

--- a/core/batch/waits.go
+++ b/core/batch/waits.go
@@ -24,7 +24,7 @@
 	// waits of four stayed below 1.6 times the expected one.
 	waitSpread = 1.2
 	// maxBias bounds what was learned from a short disturbance.
-	maxBias = 3.0
+	maxBias = 8.0
 )
 
 // observe takes the wait of a run that has ended.
