--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -6,22 +6,16 @@
 	"time"
 
 	core "peridotpick.example/core/batch"
+	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
 
 // Times of the exchange between entries.
 const (
-	// dialTimeout is far above a round trip; a machine that is just starting leaves
-	// the first attempt without an answer.
-	dialTimeout = 200 * time.Millisecond
-	retryMin    = 100 * time.Millisecond
-	retryMax    = 300 * time.Millisecond
 	// gossipEvery is the longest silence between two entries, silentAfter the
 	// silence after which a stream is closed and opened anew.
 	gossipEvery = 400 * time.Millisecond
 	silentAfter = 1500 * time.Millisecond
-	// forgetAfter is how long an entry may be out of reach before it is forgotten.
-	forgetAfter = 10 * time.Second
 	// registerRetry is the pause after a failed attempt to register.
 	registerRetry = time.Second
 	// registryEvery is how often the registry is read for entries that nobody
@@ -113,19 +107,7 @@
 
 // keep exchanges with one entry until that is out of reach for long.
 func (p *peers) keep(ctx context.Context, address string) {
-	pause := retryMin
-	lastUp := time.Now()
-	for ctx.Err() == nil && time.Since(lastUp) < forgetAfter {
-		if p.exchangeWith(ctx, address) {
-			lastUp = time.Now()
-			pause = retryMin
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
-		pause = min(2*pause, retryMax)
-	}
+	transport.Keep(ctx, func(ctx context.Context) bool { return p.exchangeWith(ctx, address) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.dialed, address)
@@ -133,7 +115,7 @@
 }
 
 func (p *peers) exchangeWith(ctx context.Context, address string) bool {
-	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialing, cancel := context.WithTimeout(ctx, transport.DialTimeout)
 	defer cancel()
 	conn, err := p.entry.deps.Transport.Dial(dialing, address)
 	if err != nil {
@@ -269,7 +251,7 @@
 	defer p.mu.Unlock()
 	list := []runs.Entry{p.entry.self}
 	for _, m := range p.met {
-		if time.Since(m.at) < forgetAfter {
+		if time.Since(m.at) < transport.ForgetAfter {
 			list = append(list, m.entry)
 		}
 	}
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -5,18 +5,12 @@
 	"sync"
 	"time"
 
+	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
 
-// Times of the connectors and of the search for entries.
+// Times of the search for entries.
 const (
-	// dialTimeout is far above a round trip; a machine that is just starting leaves
-	// the first attempt without an answer.
-	dialTimeout = 200 * time.Millisecond
-	retryMin    = 50 * time.Millisecond
-	retryMax    = 300 * time.Millisecond
-	// forgetAfter is how long an entry may be out of reach before its connector ends.
-	forgetAfter = 10 * time.Second
 	// lonelyCheck is how often an agent without links looks for entries elsewhere.
 	lonelyCheck = 2 * time.Second
 	// registryTimeout bounds one look into the registry.
@@ -94,19 +88,7 @@
 
 // keep holds a link to one entry until that is out of reach for long.
 func (d *directory) keep(ctx context.Context, address string) {
-	pause := retryMin
-	lastUp := time.Now()
-	for ctx.Err() == nil && time.Since(lastUp) < forgetAfter {
-		if d.agent.serve(ctx, address) {
-			lastUp = time.Now()
-			pause = retryMin
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
-		pause = min(2*pause, retryMax)
-	}
+	transport.Keep(ctx, func(ctx context.Context) bool { return d.agent.serve(ctx, address) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.known, address)
--- a/service/runner/link.go
+++ b/service/runner/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	core "peridotpick.example/core/runner"
+	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
 
@@ -43,7 +44,7 @@
 // serve opens a link to an entry and serves it until it breaks. It reports
 // whether the link was open.
 func (a *Agent) serve(ctx context.Context, address string) bool {
-	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialing, cancel := context.WithTimeout(ctx, transport.DialTimeout)
 	defer cancel()
 	conn, err := a.deps.Transport.Dial(dialing, address)
 	if err != nil {
@@ -72,7 +73,7 @@
 
 // greet says who the agent is and hears who the entry is.
 func (a *Agent) greet(stream runs.AgentEnd, stop func()) (*runs.ToAgent, error) {
-	timer := time.AfterFunc(dialTimeout, stop)
+	timer := time.AfterFunc(transport.DialTimeout, stop)
 	defer timer.Stop()
 	if err := stream.Send(&runs.ToEntry{}); err != nil {
 		return nil, err
