--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -15,6 +15,8 @@
 	// gossipEvery is the longest silence between two entries, silentAfter the
 	// silence after which a stream is closed and opened anew.
 	gossipEvery = 400 * time.Millisecond
+	// behindEvery is the pause while the other side has a newer configuration.
+	behindEvery = 100 * time.Millisecond
 	silentAfter = 1500 * time.Millisecond
 	// registerRetry is the pause after a failed attempt to register.
 	registerRetry = time.Second
@@ -35,7 +37,8 @@
 	// met are the entries that were heard of, with the time they last spoke.
 	met map[string]met
 	// wake holds a signal for each open stream.
-	wake map[chan struct{}]bool
+	wake   map[chan struct{}]bool
+	asking asking
 }
 
 type met struct {
@@ -146,71 +149,86 @@
 	p.mu.Lock()
 	p.wake[wake] = true
 	p.mu.Unlock()
-	theirs := make(chan uint64, 1)
+	theirs := make(chan heard, 1)
 	go func() {
 		defer stop()
 		p.speak(ctx, stream, wake, theirs)
 	}()
-	heard := p.listen(stop, stream, theirs)
+	reached := p.listen(stop, stream, theirs)
 	stop()
 	p.mu.Lock()
 	delete(p.wake, wake)
 	p.mu.Unlock()
-	return heard
+	return reached
+}
+
+// heard is what the other side of a stream has said last.
+type heard struct {
+	version uint64
+	want    bool
 }
 
 // speak sends what this entry knows: at once after a change, else now and then.
-// The configuration goes along if the other side has an older one.
-func (p *peers) speak(ctx context.Context, stream runs.GossipEnd, wake <-chan struct{}, theirs <-chan uint64) {
-	version, known := uint64(0), false
+// The configuration goes along if the other side has asked for it.
+func (p *peers) speak(ctx context.Context, stream runs.GossipEnd, wake <-chan struct{}, theirs <-chan heard) {
+	var last heard
 	for {
 		msg := &runs.Gossip{From: p.entry.self, Entries: p.alive(), ConfigVersion: p.entry.configVersion()}
-		if doc := p.entry.config.Load(); known && doc != nil && version < doc.Catalog.Version {
+		msg.Want = p.asking.ask(time.Now(), msg.ConfigVersion, last.version)
+		if doc := p.entry.config.Load(); last.want && doc != nil && last.version < doc.Catalog.Version {
 			msg.Config = doc.Raw
-			version = doc.Catalog.Version
+			last.want = false
 		}
 		if stream.Send(msg) != nil {
 			return
 		}
-		select {
-		case version = <-theirs:
-			known = true
-			if version >= p.entry.configVersion() {
-				p.rest(ctx, wake)
+		pause := time.NewTimer(p.pause(last.version))
+		for answered := false; !answered; {
+			select {
+			case last = <-theirs:
+				answered = last.want
+				if last.version > msg.ConfigVersion {
+					pause.Reset(behindEvery)
+				}
+			case <-wake:
+				answered = true
+			case <-pause.C:
+				answered = true
+			case <-ctx.Done():
+				pause.Stop()
+				return
 			}
-		case <-wake:
-		case <-time.After(gossipEvery):
-		case <-ctx.Done():
-			return
 		}
+		pause.Stop()
 	}
 }
 
-// rest waits until there is something to say.
-func (p *peers) rest(ctx context.Context, wake <-chan struct{}) {
-	select {
-	case <-wake:
-	case <-time.After(gossipEvery):
-	case <-ctx.Done():
+// pause returns the time until something is said without a reason.
+func (p *peers) pause(theirs uint64) time.Duration {
+	if theirs > p.entry.configVersion() {
+		return behindEvery
 	}
+	return gossipEvery
 }
 
-func (p *peers) listen(stop func(), stream runs.GossipEnd, theirs chan uint64) (heard bool) {
+func (p *peers) listen(stop func(), stream runs.GossipEnd, theirs chan heard) (reached bool) {
 	silence := time.AfterFunc(silentAfter, stop)
 	defer silence.Stop()
 	for {
 		msg, err := stream.Recv()
 		if err != nil {
-			return heard
+			return reached
 		}
-		heard = true
+		reached = true
 		silence.Reset(silentAfter)
 		p.take(msg)
+		now := heard{version: msg.ConfigVersion, want: msg.Want}
 		select {
-		case <-theirs:
+		case before := <-theirs:
+			now.want = now.want || before.want
 		default:
 		}
-		theirs <- msg.ConfigVersion
+		theirs <- now
 	}
 }
 
@@ -260,6 +278,7 @@
 
 // configChanged has all streams speak.
 func (p *peers) configChanged() {
+	p.asking.adopted()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for wake := range p.wake {
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -243,6 +243,8 @@
 	Entries []Entry `cbor:"2,keyasint,omitempty"`
 	// ConfigVersion is the version in force at the sender; 0 if it has none.
 	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
-	// Config is the configuration, if the receiver's last known version is lower.
+	// Config is the configuration, if the receiver has asked for it.
 	Config []byte `cbor:"4,keyasint,omitempty"`
+	// Want asks for the configuration.
+	Want bool `cbor:"5,keyasint,omitempty"`
 }
