check names every mistake in one go, also beside a wrong type

Cause: the schema's mistakes were returned before what a schema cannot say was looked at, so a hostname or a clashing port was named only once all types were right; the help named a settings file that does not exist. Ruled out: decoding leniently alone, which stops at a malformed duration. Change: settings.Read checks the schema, leaves refused values out, and checks the rest; settings and configuration both use it. The help names agent-01.json. TestWrongTypeHidesNoOtherMistake, TestMissingIsNamedOnce.

--- a/cmd/peridotpick/check.go
+++ b/cmd/peridotpick/check.go
@@ -16,7 +16,7 @@
 	return &cli.Command{
 		Name: "check", Usage: "check files of settings or configuration and name every mistake", ArgsUsage: "FILE...",
 		Description: "Examples:\n  peridotpick check deploy/association/entry-hall-a-1.json\n" +
-			"  peridotpick check --kind agent deploy/association/agent-hall-a-1.json\n" +
+			"  peridotpick check --kind agent deploy/association/agent-01.json\n" +
 			"  peridotpick check --kind config deploy/association/config.json",
 		Flags: []cli.Flag{&cli.StringFlag{Name: "kind", Value: "entry", Usage: "entry, agent or config"}},
 		Action: func(_ context.Context, cmd *cli.Command) error {
--- a/common/config/config.go
+++ b/common/config/config.go
@@ -5,7 +5,6 @@
 package config
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"crypto/subtle"
 	_ "embed" // the schema
@@ -14,8 +13,6 @@
 	"fmt"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"peridotpick.example/common/label"
 	"peridotpick.example/common/settings"
 )
@@ -145,19 +142,20 @@
 
 // Parse checks a document. The error is settings.Problems if it is not valid.
 func Parse(data []byte) (*Compiled, error) {
-	if err := settings.CheckSchema(schema, data); err != nil {
-		return nil, err
-	}
 	var doc Document
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&doc); err != nil {
-		return nil, eris.Wrap(err, "configuration")
+	var c *Compiled
+	err := settings.Read(schema, data, &doc, func() settings.Problems {
+		var p settings.Problems
+		c, p = compile(doc)
+		return p
+	})
+	if err != nil {
+		return nil, err
 	}
-	return compile(doc)
+	return c, nil
 }
 
-func compile(doc Document) (*Compiled, error) {
+func compile(doc Document) (*Compiled, settings.Problems) {
 	c := &Compiled{
 		Document: doc, teams: make(map[string]*Team), kinds: make(map[kindKey]*CompiledKind),
 		services: make(map[string]bool), tokens: make(map[[sha256.Size]byte]Identity),
@@ -169,7 +167,7 @@
 	if r := doc.Retention.Std(); r != 0 && r < minRetention {
 		p.Add("/retention", r, fmt.Sprintf("at least %v", minRetention))
 	}
-	return c, p.Err()
+	return c, p
 }
 
 func (c *Compiled) compileTeams(p *settings.Problems) {
--- a/common/settings/problems.go
+++ b/common/settings/problems.go
@@ -89,22 +89,9 @@
 	return compiler.MustCompile(name)
 }
 
-// CheckSchema validates a JSON document and returns all mistakes.
-func CheckSchema(schema *jsonschema.Schema, data []byte) error { return checkSchema(schema, data) }
-
-func checkSchema(schema *jsonschema.Schema, data []byte) error {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
-	if err != nil {
-		return Problems{{Path: "/", Allowed: "valid JSON: " + err.Error()}}
-	}
-	err = schema.Validate(doc)
-	invalid, ok := err.(*jsonschema.ValidationError)
-	if !ok {
-		return err
-	}
-	var p Problems
-	p.collect(invalid, doc)
-	return p
+// CheckSchema validates a JSON document and returns the mistakes that its schema finds.
+func CheckSchema(schema *jsonschema.Schema, data []byte) error {
+	return Read(schema, data, new(any), func() Problems { return nil })
 }
 
 var printer = message.NewPrinter(language.English)
--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -7,8 +7,6 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -169,16 +167,13 @@
 // ParseEntry checks an entry's settings.
 func ParseEntry(data []byte) (*Entry, error) {
 	s := &Entry{Limits: DefaultEntryLimits(), Log: Log{Level: "info"}, Platform: Platform{Timeout: Duration(2 * time.Second)}}
-	if err := checkSchema(entrySchema, data); err != nil {
-		return nil, err
-	}
-	if err := decode(data, s); err != nil {
-		return nil, err
-	}
-	if s.PeerAddress == "" {
-		s.PeerAddress = s.PeerListen
-	}
-	return s, s.check()
+	err := Read(entrySchema, data, s, func() Problems {
+		if s.PeerAddress == "" {
+			s.PeerAddress = s.PeerListen
+		}
+		return s.check()
+	})
+	return s, err
 }
 
 // LoadAgent reads and checks an agent's settings.
@@ -193,31 +188,22 @@
 // ParseAgent checks an agent's settings.
 func ParseAgent(data []byte) (*Agent, error) {
 	s := DefaultAgent()
-	if err := checkSchema(agentSchema, data); err != nil {
-		return nil, err
-	}
-	if err := decode(data, &s); err != nil {
-		return nil, err
-	}
-	if s.Address == "" {
-		s.Address = s.Listen
-	}
-	return &s, s.check()
-}
-
-func decode(data []byte, into any) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	return eris.Wrap(dec.Decode(into), "settings")
+	err := Read(agentSchema, data, &s, func() Problems {
+		if s.Address == "" {
+			s.Address = s.Listen
+		}
+		return s.check()
+	})
+	return &s, err
 }
 
-func (s *Entry) check() error {
+func (s *Entry) check() Problems {
 	var p Problems
 	p.address("/listen", s.Listen, s.Dev)
 	p.address("/peerListen", s.PeerListen, s.Dev)
 	p.address("/peerAddress", s.PeerAddress, s.Dev)
 	p.address("/platform/address", s.Platform.Address, false)
-	if s.Listen == s.PeerListen {
+	if s.Listen == s.PeerListen && s.Listen != "" {
 		p.add("/peerListen", s.PeerListen, "must differ from /listen")
 	}
 	p.tls(s.TLS, s.Dev)
@@ -237,10 +223,10 @@
 	if l.MaxTasks > l.MaxWaiting {
 		p.add("/limits/maxTasks", l.MaxTasks, fmt.Sprintf("at most /limits/maxWaiting, which is %d", l.MaxWaiting))
 	}
-	return p.err()
+	return p
 }
 
-func (s *Agent) check() error {
+func (s *Agent) check() Problems {
 	var p Problems
 	p.address("/listen", s.Listen, s.Dev)
 	p.address("/address", s.Address, s.Dev)
@@ -255,13 +241,14 @@
 	}
 	p.positive("/drainTimeout", s.DrainTimeout)
 	p.positive("/platform/timeout", s.Platform.Timeout)
-	return p.err()
+	return p
 }
 
 // address checks an IP:port, and that it is on loopback if it must be.
 func (p *Problems) address(path, value string, loopback bool) {
 	parsed, err := netip.ParseAddrPort(value)
 	switch {
+	case value == "": // a missing address is the schema's to report
 	case err != nil:
 		p.add(path, value, "an IP number and a port, such as 127.0.0.1:7000")
 	case loopback && !parsed.Addr().IsLoopback():
--- a/common/settings/settings_test.go
+++ b/common/settings/settings_test.go
@@ -72,6 +72,35 @@
 	is.Equal(problems[3].String(), "/connections: 3: allowed: at least /slots, which is 9")
 }
 
+// TestWrongTypeHidesNoOtherMistake: a value of the wrong type, an unknown field and
+// what no schema can say are all named at the same time.
+func TestWrongTypeHidesNoOtherMistake(t *testing.T) {
+	is := is.New(t)
+	bad := strings.NewReplacer(`"id":"entry-1"`, `"id":7,"colour":"red"`, `"127.0.0.1:7001"`, `"localhost:7001"`,
+		`"127.0.0.1:7101"`, `"localhost:7001"`, `"maxBody":4096`, `"maxBody":"all"`).Replace(goodEntry)
+	_, err := ParseEntry([]byte(bad))
+	var problems Problems
+	is.True(errors.As(err, &problems))
+	paths := make(map[string]int)
+	for _, p := range problems {
+		paths[p.Path]++
+	}
+	is.Equal(paths["/"], 1)               // colour
+	is.Equal(paths["/id"], 1)             // a number
+	is.Equal(paths["/limits/maxBody"], 1) // a string
+	is.Equal(paths["/listen"], 1)         // a host name
+	is.Equal(paths["/peerListen"], 2)     // a host name, and the same address
+}
+
+// TestMissingIsNamedOnce: what is absent is not reported again as malformed.
+func TestMissingIsNamedOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := ParseEntry([]byte(strings.Replace(goodEntry, `"listen":"127.0.0.1:7001",`, ``, 1)))
+	var problems Problems
+	is.True(errors.As(err, &problems))
+	is.Equal(len(problems), 1)
+}
+
 // TestDeployedSettings checks the committed settings of both users.
 func TestDeployedSettings(t *testing.T) {
 	is := is.New(t)
