Durable jobs: stored, run, asked for, cancelled, taken over

Cause: a job that must be kept was refused with 503. Deployments with such jobs got no request served at all. Ruled out: a row for each end written by agents (two writers of one job, and a write for each task); time-bound leases in each job's row (a write a second and job). Change: core/ledger decides which durable jobs there are, who owns them, what is written; each job is one row of the store, changed only under its version; all entries follow the changes. core/batch runs them beside awaited jobs; core/runner keeps their ends listed until they are stored, and hands them over on a claim. Left: tests of the new parts, latency, takeover under faults, gangs and the rest.

--- a/cmd/peridotpick/dispatch.go
+++ b/cmd/peridotpick/dispatch.go
@@ -12,6 +12,7 @@
 
 	"peridotpick.example/common/logs"
 	core "peridotpick.example/core/batch"
+	"peridotpick.example/core/ledger"
 	"peridotpick.example/platform/boot"
 	"peridotpick.example/platform/ingress"
 	"peridotpick.example/platform/store"
@@ -69,10 +70,27 @@
 	// crossCost is the way to another data centre and back, in the two users'
 	// deployments 1 and 1.8 ms, with some margin against needless traffic.
 	crossCost = 4 * time.Millisecond
+	// ownFor outlasts the outages of the store that are usual there, 4.5 s: a longer
+	// one stops the durable jobs of the entries it reaches.
+	ownFor = 5500 * time.Millisecond
+	// ownerSilent is five missed messages between entries.
+	ownerSilent = 2 * time.Second
+	// keepSlack lets callers ask a little later than they may.
+	keepSlack = 5 * time.Second
+	// maxOpen bounds an entry's durable jobs: at most some 10 KB each.
+	maxOpen = 5000
+	// writeShare is the part of the store's writes that durable jobs may take; others
+	// are the registry's and the operator's.
+	writeShare = 0.8
 )
 
 func dispatchSettings(file *boot.File) batch.Settings {
 	return batch.Settings{
+		WritesPerSecond: file.Platform.WritesPerSecond * writeShare,
+		Ledger: ledger.Settings{
+			OwnFor: ownFor, RunsOver: file.OwnerLease() + file.RunsOver(), SilentAfter: ownerSilent,
+			KeepEnded: file.KeepEnded() + keepSlack, MaxOpen: maxOpen,
+		},
 		Name: file.Name, Address: file.Internal(file.IP), Seeds: file.EntrySeeds(),
 		Core: core.Settings{
 			DataCentre: file.DataCentre, OwnerLease: file.OwnerLease(), WorkerLease: file.RunsOver(),
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -112,7 +112,13 @@
 		c.progressOf(a, p)
 	}
 	for i := range msg.Ends {
-		c.endOf(a.worker.ID, msg.Ends[i])
+		c.endTold(a, msg.Ends[i])
+	}
+	for i := range msg.Claimed {
+		c.claimed(a, &msg.Claimed[i])
+	}
+	for _, end := range msg.Unowned {
+		c.endTold(a, end)
 	}
 	if msg.Load != nil || msg.Worker != nil {
 		c.placeWaiting()
@@ -140,7 +146,7 @@
 	c.closeFormer(a)
 	a.out.Owned = []runs.Owned{}
 	for _, t := range c.tasksAt(w.Agent) {
-		a.out.Owned = append(a.out.Owned, runs.Owned{Key: t.key(), Need: t.step.Need, Estimate: t.step.estimate})
+		a.out.Owned = append(a.out.Owned, runs.Owned{Key: t.key(), Need: t.step.Need, Estimate: t.step.estimate, Durable: t.job.durable != nil})
 		t.on = a.link
 		a.runs++
 		t.stopping = false
@@ -149,6 +155,7 @@
 		}
 	}
 	c.lost.Delete(w.Agent)
+	c.claimAll(a)
 }
 
 // closeFormer closes an older link of the same agent, which has gone silent.
@@ -231,6 +238,10 @@
 	if t == nil || t.state != taskPlaced || t.run != p.Key.Run {
 		return
 	}
+	if p.Checkpoint != "" {
+		t.checkpoint = p.Checkpoint
+		return
+	}
 	if p.Waiting {
 		t.waitsAt = a.heard
 		return
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -5,7 +5,7 @@
 // The core is deterministic: events and time go in, an Output with messages and
 // answers comes out. It has no clock, socket, goroutine or log.
 //
-// Nothing about these jobs is stored. If the entry is lost, so is the job: its
+// Nothing about awaited jobs is stored. If the entry is lost, so is the job: its
 // runs end with the entry's lease, before the caller sends the job again.
 //
 // Edge cases:
@@ -15,6 +15,10 @@
 //     not to have begun.
 //   - An entry that was suspended for longer than its leases ends all its jobs:
 //     their runs are over and their callers may have come back elsewhere.
+//
+// Durable jobs are run by the same core for the entry that owns them in the store.
+// Their ends are recorded before agents may forget them, and they are given up as
+// soon as the entry is not sure any more to own them.
 package batch
 
 import (
@@ -64,18 +68,18 @@
 
 // Step is a number of like tasks of a job.
 type Step struct {
-	Count int
-	Need  room.Room
+	Count int       `cbor:"1,keyasint"`
+	Need  room.Room `cbor:"2,keyasint"`
 	// Estimate is the declared run time of one task.
-	Estimate time.Duration
+	Estimate time.Duration `cbor:"3,keyasint"`
 	// After are the steps that must be done before.
-	After []int
+	After []int `cbor:"4,keyasint,omitempty"`
 	// Requires is a label that the worker must have; empty if any will do.
-	Requires string
+	Requires string `cbor:"5,keyasint,omitempty"`
 	// DataRack is the rack of the step's data; empty if there is none.
-	DataRack string
+	DataRack string `cbor:"6,keyasint,omitempty"`
 	// AntiAffinity bounds the step's tasks on one worker; 0 if unbounded.
-	AntiAffinity int
+	AntiAffinity int `cbor:"7,keyasint,omitempty"`
 }
 
 // Request hands a job in.
@@ -113,6 +117,12 @@
 	// Closes are links that another one has replaced.
 	Closes []LinkID
 	Notes  []Note
+	// Records are to be stored, in this order.
+	Records []Record
+	// Disowned are durable jobs that were given up, since this entry is no longer
+	// sure to own them.
+	Disowned []string
+	Unowned  []Unowned
 }
 
 // Note is one decision for the log.
@@ -150,8 +160,16 @@
 	// typical is the median slowness of each service's workers.
 	typical   map[string]float64
 	settledAt time.Time
-	now       time.Time
-	out       Output
+	// ownedUntil is until when the entry is sure to own its durable jobs.
+	ownedUntil time.Time
+	// unrecorded are durable jobs with something that is not stored.
+	unrecorded ordered.Map[string, *job]
+	// backlogged is set while durable tasks wait for room; backlogAt is when they
+	// were last looked at.
+	backlogged bool
+	backlogAt  time.Time
+	now        time.Time
+	out        Output
 }
 
 // New returns a core without agents.
@@ -170,6 +188,7 @@
 	if suspended {
 		c.resume(gap)
 	}
+	c.checkOwnership()
 }
 
 // resume handles that the entry was suspended.
@@ -180,13 +199,16 @@
 		return
 	}
 	for j := range c.jobs.Values() {
-		c.giveUp(j, errkind.FateUnknown, "suspended")
+		if j.durable == nil {
+			c.giveUp(j, errkind.FateUnknown, "suspended")
+		}
 	}
 }
 
 // Flush returns what the events since the last call ask for.
 func (c *Core) Flush(now time.Time) Output {
 	c.Now(now)
+	c.record()
 	for a := range c.agents.Values() {
 		c.flushAgent(a)
 	}
@@ -203,6 +225,7 @@
 	for j := range c.jobs.Values() {
 		c.checkDeadline(j)
 	}
+	c.forgetEnded()
 	c.placeWaiting()
 	c.moveSlow()
 }
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -29,6 +29,8 @@
 	// whether anything began.
 	answerBy time.Time
 	left     int
+	// durable is nil for an awaited job.
+	durable *durable
 }
 
 // step is a Step with its tasks.
@@ -69,6 +71,12 @@
 	failures int
 	// refusedBy are the workers that refused it, with their number of refusals.
 	refusedBy map[string]int
+	// checkpoint resumes the task; empty if there is none.
+	checkpoint string
+	// taken tasks had another owner, whose newest run's number is not known.
+	taken bool
+	// handled are runs whose kept ends were taken.
+	handled map[uint32]bool
 }
 
 type taskState uint8
@@ -95,7 +103,7 @@
 		c.note(Note{Event: "refuse", Job: r.Job, Queue: r.Queue.Name, Version: r.Version, Reason: "settling"})
 		return
 	}
-	if old := c.jobs.Get(r.Job); old != nil {
+	if old := c.jobs.Get(r.Job); old != nil && old.durable == nil {
 		c.attach(old, r)
 		return
 	}
@@ -205,7 +213,7 @@
 func (c *Core) CancelJob(now time.Time, name string) bool {
 	c.Now(now)
 	j := c.jobs.Get(name)
-	if j == nil || j.ended {
+	if j == nil || j.ended || j.durable != nil {
 		return false
 	}
 	c.giveUp(j, errkind.Canceled, "cancelled")
@@ -217,6 +225,7 @@
 	if j.ended {
 		return
 	}
+	c.failDurable(j, kind)
 	c.note(Note{Event: "give up", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: reason, Age: c.now.Sub(j.arrived)})
 	if kind != outOfTime || j.begun || !j.placed() {
 		c.answer(j, c.truthful(j, kind))
@@ -279,7 +288,7 @@
 }
 
 func (c *Core) forgetIfOver(j *job) {
-	if j.placed() {
+	if j.placed() || c.keepsDurable(j) {
 		return
 	}
 	c.jobs.Delete(j.name)
@@ -288,10 +297,16 @@
 			delete(c.byTask, t.name)
 		}
 	}
+	if j.durable != nil && j.durable.again != nil {
+		c.Own(c.now, j.durable.again)
+	}
 }
 
 // checkDeadline gives a job up whose caller has stopped waiting.
 func (c *Core) checkDeadline(j *job) {
+	if j.durable != nil {
+		return
+	}
 	if !j.ended && !c.now.Before(j.deadline) {
 		c.giveUp(j, outOfTime, "deadline")
 	}
@@ -361,6 +376,9 @@
 		c.note(Note{Event: "done", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Age: c.now.Sub(t.job.arrived), Expected: t.job.objective})
 		c.answer(t.job, errkind.OK)
 		t.job.ended = true
+		if t.job.durable != nil {
+			c.ended(t.job, JobDone)
+		}
 	}
 }
 
@@ -387,7 +405,7 @@
 		t.failedOn = make(map[string]int)
 	}
 	t.failedOn[worker]++
-	if c.failing(worker) {
+	if t.job.durable == nil && c.failing(worker) {
 		return
 	}
 	t.failures++
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -20,6 +20,8 @@
 	slack time.Duration
 	// missing counts tasks for which there is no worker.
 	missing int
+	// held is set if tasks were left out, since they would wait too long for room.
+	held bool
 }
 
 type place struct {
@@ -36,7 +38,11 @@
 }
 
 // planJob finds places for the tasks of a job that may start now.
-func (c *Core) planJob(j *job) plan {
+func (c *Core) planJob(j *job) plan { return c.planWithin(j, 0) }
+
+// planWithin leaves tasks out that would wait for room longer than a limit; 0 sets
+// none. Tasks of a step are alike: after the first one the others are not tried.
+func (c *Core) planWithin(j *job, limit time.Duration) plan {
 	var p plan
 	trials := make(map[LinkID]*trial)
 	candidates := c.candidates(j.queue.Service)
@@ -47,14 +53,29 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			if t.state == taskWaiting {
-				c.planTask(&p, t, candidates, trials)
+			if t.state != taskWaiting {
+				continue
+			}
+			c.planTask(&p, t, candidates, trials)
+			if limit > 0 && p.cut(limit) {
+				break
 			}
 		}
 	}
 	return p
 }
 
+// cut leaves the last place out if its wait is over the limit.
+func (p *plan) cut(limit time.Duration) bool {
+	last := len(p.places) - 1
+	if last < 0 || p.places[last].wait <= limit {
+		return false
+	}
+	p.places = p.places[:last]
+	p.held = true
+	return true
+}
+
 // candidates returns the usable agents of a service.
 func (c *Core) candidates(service string) []*agent {
 	var list []*agent
@@ -275,6 +296,10 @@
 func (c *Core) start(pl place) {
 	t, a, j := pl.task, pl.agent, pl.task.job
 	t.run++
+	if t.taken {
+		t.run += oldRunStep
+		t.taken = false
+	}
 	t.state = taskPlaced
 	t.on = a.link
 	t.agent = a.worker.Agent
@@ -290,7 +315,7 @@
 	}
 	a.out.Starts = append(a.out.Starts, runs.Start{
 		Key: t.key(), Spec: j.spec, Need: t.step.Need, Estimate: t.step.estimate,
-		Slack: j.slackLeft(c.now), Patience: c.patience(j),
+		Slack: j.slackLeft(c.now), Patience: c.patience(j), Checkpoint: t.checkpoint, Durable: j.durable != nil,
 	})
 	a.dirty = true
 	c.note(Note{
@@ -307,6 +332,9 @@
 
 // patience is how long a run of a job may wait for its start.
 func (c *Core) patience(j *job) time.Duration {
+	if j.durable != nil {
+		return durablePatience
+	}
 	return min(j.deadline.Sub(c.now), lateFactor*j.objective-c.now.Sub(j.arrived))
 }
 
@@ -321,6 +349,10 @@
 	if !j.hasWaiting() {
 		return
 	}
+	if j.durable != nil {
+		c.placeDurable(j)
+		return
+	}
 	if c.patience(j) <= 0 {
 		c.giveUp(j, outOfTime, "no time left")
 		return
@@ -332,7 +364,7 @@
 func (c *Core) placeWaiting() {
 	var waiting []*job
 	for j := range c.jobs.Values() {
-		if !j.ended && j.hasWaiting() {
+		if !j.ended && j.durable == nil && j.hasWaiting() {
 			waiting = append(waiting, j)
 		}
 	}
@@ -340,6 +372,7 @@
 	for _, j := range waiting {
 		c.placeJob(j)
 	}
+	c.placeBacklog()
 }
 
 func (j *job) hasWaiting() bool {
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -55,6 +55,18 @@
 	return c
 }
 
+// Named returns the queue of a name, or nil.
+func (c *Catalog) Named(name string) *Queue {
+	for _, list := range c.hosts {
+		for i := range list {
+			if list[i].Name == name {
+				return &list[i]
+			}
+		}
+	}
+	return nil
+}
+
 // Find returns the queue of a request, or nil.
 func (c *Catalog) Find(host, path string) *Queue {
 	list := c.hosts[host]
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -97,12 +97,18 @@
 	queue  waiting
 	// pendingOwned are lists of owned runs that wait until the worker was looked at.
 	pendingOwned ordered.Map[LinkID, []runs.Owned]
-	recent       recentEnds
-	pace         pace
-	draining     bool
-	loadChanged  bool
-	now          time.Time
-	out          Output
+	// pendingClaims wait likewise.
+	pendingClaims ordered.Map[LinkID, []runs.Claim]
+	// held are ends that the worker must go on listing, by their number.
+	held ordered.Map[int64, *heldEnd]
+	// lookedAt is when the last look was made.
+	lookedAt    time.Time
+	recent      recentEnds
+	pace        pace
+	draining    bool
+	loadChanged bool
+	now         time.Time
+	out         Output
 }
 
 // New returns a core without a worker.
@@ -152,6 +158,7 @@
 	l := &link{id: id, entry: entry}
 	c.links.Put(id, l)
 	c.tellWorker(l)
+	c.tellHeld(l)
 }
 
 // dropFormer stops the runs of a former incarnation of an entry.
@@ -169,6 +176,7 @@
 	c.now = now
 	c.links.Delete(id)
 	c.pendingOwned.Delete(id)
+	c.pendingClaims.Delete(id)
 }
 
 // Receive handles a message of an entry.
@@ -183,6 +191,12 @@
 		c.pendingOwned.Put(id, msg.Owned)
 		c.reconcile()
 	}
+	if len(msg.Claims) > 0 {
+		c.pendingClaims.Put(id, append(c.pendingClaims.Get(id), msg.Claims...))
+		c.answerClaims()
+	}
+	c.noted(msg.Noted)
+	c.void(msg.Void)
 	for i := range msg.Starts {
 		l.seen++
 		c.admit(l, &msg.Starts[i], msg.Clock)
@@ -219,6 +233,8 @@
 	c.expireWaiting()
 	c.stopOrphans()
 	c.retryStops()
+	c.forgetVoid()
+	c.askAboutHeld()
 	c.forgetLeases()
 }
 
@@ -270,7 +286,7 @@
 	if !w.known || !w.leftAt.IsZero() {
 		return false
 	}
-	return !w.synced || w.candidate.ID != "" || c.occupied() > 0 || w.acknowledged < w.lastSeen
+	return !w.synced || c.lapsing() || w.candidate.ID != "" || c.occupied() > 0 || w.acknowledged < c.notedUpTo()
 }
 
 // occupied returns the number of runs that may be at the worker.
--- /dev/null
+++ b/core/runner/held.go
@@ -0,0 +1,132 @@
+package runner
+
+import (
+	"time"
+
+	"peridotpick.example/wire/runs"
+)
+
+// heldEnd is an end that the worker goes on listing, since no entry has said yet
+// that it is stored. Were the worker told to forget it before, a job whose entry
+// dies now would run the task again although it is done.
+type heldEnd struct {
+	number int64
+	end    runs.End
+	// owner is the entry that the end was told to; 0 if none is known.
+	owner uint64
+	// askedAt is when entries were last asked about an end without an owner.
+	askedAt time.Time
+	// void ends came too late for their entry.
+	void bool
+}
+
+const (
+	// heldLookEvery is the shortest time between looks while ends are held: the
+	// worker answers such looks at once.
+	heldLookEvery = 20 * time.Millisecond
+	// askAgain is the time after which entries are asked again about ends that no
+	// linked entry owns.
+	askAgain = 500 * time.Millisecond
+)
+
+// notedUpTo returns the number up to which all ends may be forgotten.
+func (c *Core) notedUpTo() int64 {
+	noted := c.worker.lastSeen
+	for number := range c.held.All() {
+		noted = min(noted, number-1)
+	}
+	return noted
+}
+
+// hold keeps an end until an entry has stored it.
+func (c *Core) hold(number int64, owner uint64, end runs.End) {
+	end.Held = true
+	c.held.Put(number, &heldEnd{number: number, end: end, owner: owner})
+}
+
+// noted releases the ends of runs that an entry has stored, or need not store.
+func (c *Core) noted(keys []runs.Key) {
+	for _, key := range keys {
+		for number, h := range c.held.All() {
+			if h.end.Key == key {
+				c.held.Delete(number)
+			}
+		}
+	}
+}
+
+// void marks ends that came too late. The entry has started their tasks again,
+// counting on the end of the worker's lease; so that lease must now end, before
+// the worker may be told to forget them.
+func (c *Core) void(keys []runs.Key) {
+	for _, key := range keys {
+		for h := range c.held.Values() {
+			if h.end.Key == key && !h.void {
+				h.void = true
+				c.refuseWaiting(runs.NoWorker)
+				c.workerChanged()
+			}
+		}
+	}
+}
+
+// lapsing reports whether the worker's lease is left to end.
+func (c *Core) lapsing() bool {
+	for h := range c.held.Values() {
+		if h.void {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetVoid forgets void ends once the worker's lease has ended.
+func (c *Core) forgetVoid() {
+	if !c.lapsing() || c.worker.earliest(c.now) <= c.worker.promisedUntil+stopGrace.Milliseconds() {
+		return
+	}
+	for number, h := range c.held.All() {
+		if h.void {
+			c.held.Delete(number)
+		}
+	}
+	c.workerChanged()
+}
+
+// outOfUse reports whether the worker may be given nothing at present.
+func (c *Core) outOfUse() bool { return c.silent() || c.lapsing() }
+
+// tellHeld repeats the held ends of an entry on a new link: their first message
+// may have been lost with the former one.
+func (c *Core) tellHeld(l *link) {
+	for h := range c.held.Values() {
+		if h.owner == l.entry.Incarnation {
+			l.out.Ends = append(l.out.Ends, h.end)
+			l.dirty = true
+		}
+	}
+}
+
+// askAboutHeld asks all entries about ends whose owner is not known or has no
+// link. They answer for jobs that are not durable or have ended.
+func (c *Core) askAboutHeld() {
+	for h := range c.held.Values() {
+		if h.void || c.now.Sub(h.askedAt) < askAgain || h.owner != 0 && c.linked(h.owner) {
+			continue
+		}
+		h.askedAt = c.now
+		for l := range c.links.Values() {
+			l.out.Unowned = append(l.out.Unowned, h.end)
+			l.dirty = true
+		}
+	}
+}
+
+func (c *Core) linked(incarnation uint64) bool {
+	for l := range c.links.Values() {
+		if l.entry.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -162,13 +162,19 @@
 	return l.epoch != epoch || now.Sub(l.SentAt) > l.Wait+staleAfter
 }
 
+// LookDue reports whether the worker should be looked at now.
+func (c *Core) LookDue(now time.Time) bool {
+	return c.Busy() && (c.held.Len() == 0 || now.Sub(c.lookedAt) >= heldLookEvery)
+}
+
 // NextLook returns the next look, if there is a need.
 func (c *Core) NextLook(now time.Time) (Look, bool) {
 	c.now = now
-	if !c.Busy() {
+	if !c.LookDue(now) {
 		return Look{}, false
 	}
-	look := Look{Worker: c.worker.info.ID, Token: c.worker.token, LastSeen: c.worker.lastSeen, SentAt: now, epoch: c.worker.epoch}
+	c.lookedAt = now
+	look := Look{Worker: c.worker.info.ID, Token: c.worker.token, LastSeen: c.notedUpTo(), SentAt: now, epoch: c.worker.epoch}
 	if c.mayRenew() {
 		look.Deadline = c.worker.deadline(now, c.settings.WorkerLease)
 		c.worker.promised(look.Deadline)
@@ -183,7 +189,7 @@
 // there may be runs that no entry of this process's knowledge owns: their entries
 // count on the end of the lease that the former process took.
 func (c *Core) mayRenew() bool {
-	if !c.worker.synced || c.silent() {
+	if !c.worker.synced || c.outOfUse() {
 		return false
 	}
 	for r := range c.runs.Values() {
@@ -268,6 +274,7 @@
 		c.worker.syncedAt = now
 		c.workerChanged()
 		c.reconcile()
+		c.answerClaims()
 	}
 }
 
@@ -280,7 +287,8 @@
 		end := runs.End{Key: e.Key, How: e.How, Checkpoint: e.Checkpoint}
 		r := c.runs.Get(e.Key)
 		if r == nil {
-			c.recent.add(end) // of a former process: an entry may still ask
+			c.recent.add(end)        // of a former process: an entry may still ask
+			c.hold(e.Number, 0, end) // its job may be durable
 			continue
 		}
 		if !r.confirmedAt.IsZero() {
@@ -290,6 +298,10 @@
 			end.Reason = r.stopReason
 		}
 		c.pace.ended(c.now, r, end)
+		if r.durable {
+			c.hold(e.Number, r.owner.Incarnation, end)
+			end.Held = true
+		}
 		c.finish(r, end)
 	}
 }
@@ -307,6 +319,7 @@
 		}
 		c.confirm(r)
 		r.percent = listed.Percent
+		r.checkpoint = listed.Checkpoint
 		r.percentAt = c.now
 	}
 	c.loadChanged = c.loadChanged || len(running) > 0
--- a/core/runner/pace.go
+++ b/core/runner/pace.go
@@ -154,6 +154,10 @@
 		if r.phase == phaseRunning && c.total(r) > time.Duration(float64(r.start.Estimate)*c.settings.LateFactor) {
 			list = append(list, runs.Progress{Key: r.key, Remaining: c.remaining(r)})
 		}
+		if r.durable && r.checkpoint != r.told {
+			list = append(list, runs.Progress{Key: r.key, Checkpoint: r.checkpoint})
+			r.told = r.checkpoint
+		}
 	}
 	return list
 }
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -31,6 +31,10 @@
 	phase phase
 	// orphan marks a run of a former agent process that no entry has claimed.
 	orphan bool
+	// durable runs' ends are held until their entry has stored them.
+	durable bool
+	// checkpoint is the newest that the worker lists, told the one that the entry has.
+	checkpoint, told string
 	// startBy is when it should start to end in time; notAfter is when it must not
 	// start any more.
 	startBy, notAfter time.Time
@@ -75,7 +79,7 @@
 	}
 	r := &run{
 		key: s.Key, owner: l.entry, start: *s, need: s.Need,
-		startBy: c.now.Add(s.Slack), notAfter: time.Unix(0, sentAt).Add(s.Patience),
+		durable: s.Durable, startBy: c.now.Add(s.Slack), notAfter: time.Unix(0, sentAt).Add(s.Patience),
 	}
 	c.loadChanged = true
 	if reason := c.refusal(r); reason != runs.NoReason {
@@ -91,7 +95,7 @@
 	switch {
 	case c.draining || c.worker.info.Draining:
 		return runs.Draining
-	case !c.worker.synced || c.silent():
+	case !c.worker.synced || c.outOfUse():
 		return runs.NoWorker
 	case !c.leased(r.owner):
 		return runs.NoLease
@@ -106,7 +110,7 @@
 // startWaiting orders the start of waiting runs that fit, the most urgent first.
 // A smaller run may pass one that does not fit, so that no room stays unused.
 func (c *Core) startWaiting() {
-	if len(c.queue) == 0 || !c.worker.synced || c.silent() {
+	if len(c.queue) == 0 || !c.worker.synced || c.outOfUse() {
 		return
 	}
 	left := c.roomLeft()
@@ -192,6 +196,12 @@
 	if !ok {
 		end = runs.End{Key: key, How: runs.Gone}
 	}
+	for h := range c.held.Values() {
+		if h.end.Key == key {
+			h.owner = l.entry.Incarnation
+			end = h.end
+		}
+	}
 	l.out.Ends = append(l.out.Ends, end)
 	l.dirty = true
 }
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotpick.example/common/ordered"
 	"peridotpick.example/wire/runs"
 )
 
@@ -154,6 +155,7 @@
 
 // loseWorker ends all runs of the present incarnation, which is over.
 func (c *Core) loseWorker() {
+	c.held = ordered.Map[int64, *heldEnd]{} // what the incarnation listed is gone with it
 	if c.worker.known {
 		c.retire(c.worker.info.ID)
 	}
@@ -249,7 +251,7 @@
 func (c *Core) tellWorker(l *link) {
 	info := c.worker.info
 	info.Draining = info.Draining || c.draining
-	if !c.worker.synced || c.silent() {
+	if !c.worker.synced || c.outOfUse() {
 		info.ID = ""
 	}
 	l.out.Worker = &info
@@ -258,12 +260,9 @@
 
 // reconcile answers entries what became of the runs that they believe to be here.
 func (c *Core) reconcile() {
-	if c.worker.known && !c.worker.synced {
+	if !c.knowsRuns() {
 		return
 	}
-	if !c.worker.known && len(c.worker.former) == 0 {
-		return // a new process that has not heard of its worker cannot know
-	}
 	for id, owned := range c.pendingOwned.All() {
 		c.pendingOwned.Delete(id)
 		for _, o := range owned {
@@ -277,11 +276,15 @@
 	switch {
 	case r == nil:
 		c.answerUnknown(l, o.Key)
+		if !o.Durable {
+			c.noted([]runs.Key{o.Key})
+		}
 	case r.orphan:
 		r.orphan = false
 		r.owner = l.entry
 		r.need = o.Need
 		r.start.Estimate = o.Estimate
+		r.durable = o.Durable
 		c.loadChanged = true
 		c.note("adopt", r, runs.NoReason)
 	}
--- /dev/null
+++ b/service/batch/durable.go
@@ -0,0 +1,315 @@
+package batch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"peridotpick.example/common/boottime"
+	"peridotpick.example/common/errkind"
+	core "peridotpick.example/core/batch"
+	"peridotpick.example/core/ledger"
+	"peridotpick.example/service/telemetry"
+	"peridotpick.example/wire/runs"
+)
+
+// Changes are rows of durable jobs that a look at the store has shown.
+type Changes struct {
+	Rows []ledger.Stored
+	// Next is where the next look goes on.
+	Next uint64
+	// More is true if there are further changes already.
+	More bool
+	// Restart is true if the store has dropped part of the changes: all rows must be
+	// read again.
+	Restart bool
+}
+
+// JobStore keeps durable jobs.
+type JobStore interface {
+	// Jobs reads all rows.
+	Jobs(ctx context.Context) (Changes, error)
+	// JobChanges waits for changes after a position, but not longer than a time.
+	JobChanges(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+	// JobParts is the number of parts that take writes independently; JobPart tells
+	// that of a job.
+	JobParts() int
+	JobPart(job string) int
+	// WriteJobs carries out writes of one part, all or none. It returns an outcome
+	// for each, or an error if it is not known whether they were carried out.
+	WriteJobs(ctx context.Context, writes []ledger.Write) ([]ledger.Outcome, error)
+}
+
+// Times of following the changes.
+const (
+	// followPause is the pause after a look that showed something: it bounds the
+	// calls to the store, and how old a job's state may be at other entries.
+	followPause = 80 * time.Millisecond
+	// followOpen is how long a look waits while this entry has open jobs, so that its
+	// ownership is confirmed often enough; followIdle otherwise.
+	followOpen = time.Second
+	followIdle = 10 * time.Second
+	// freshness is how new the known jobs must be to say that there is no such job.
+	freshness = 2 * time.Second
+)
+
+// keeper owns the ledger. The ledger is used by the entry's loop alone.
+type keeper struct {
+	entry  *Entry
+	ledger *ledger.Core
+	waits  map[ledger.RequestID]chan errkind.Kind
+	lanes  []*lane
+	// open is true while this entry has open jobs, unconfirmed while some of them
+	// wait for a confirmation.
+	open, unconfirmed atomic.Bool
+	nextID            atomic.Uint64
+}
+
+func newKeeper(e *Entry, s ledger.Settings, writesPerSecond float64) *keeper {
+	s.Self = e.self
+	k := &keeper{entry: e, ledger: ledger.New(s, boottime.Now()), waits: make(map[ledger.RequestID]chan errkind.Kind)}
+	for range e.deps.Store.JobParts() {
+		k.lanes = append(k.lanes, newLane(e, writesPerSecond/float64(e.deps.Store.JobParts())))
+	}
+	return k
+}
+
+// run follows the changes and carries out writes.
+func (k *keeper) run(ctx context.Context) error {
+	group, work := errgroup.WithContext(ctx)
+	group.Go(func() error { return k.follow(work) })
+	for _, l := range k.lanes {
+		group.Go(func() error { return l.run(work) })
+	}
+	return group.Wait()
+}
+
+// follow reads all jobs, then what changes.
+func (k *keeper) follow(ctx context.Context) error {
+	e := k.entry
+	var after uint64
+	loaded, failing := false, false
+	for ctx.Err() == nil {
+		sentAt := boottime.Now()
+		changes, err := k.look(ctx, loaded, after)
+		if err != nil {
+			if !failing {
+				e.log.Warn().Err(err).Msg("entry: the store does not tell the durable jobs")
+			}
+			failing = true
+			pause(ctx, configRetry)
+			continue
+		}
+		if failing {
+			failing = false
+			e.log.Info().Msg("entry: the store tells the durable jobs again")
+		}
+		if changes.Restart {
+			loaded = false
+			continue
+		}
+		if changes.More {
+			sentAt = time.Time{} // it confirms nothing yet
+		}
+		first := !loaded
+		after, loaded = changes.Next, true
+		e.post(func(_ *core.Core, now time.Time) {
+			if first {
+				k.ledger.Load(now, changes.Rows, sentAt)
+				return
+			}
+			k.ledger.Learn(now, changes.Rows, sentAt)
+		})
+		if len(changes.Rows) > 0 && !changes.More {
+			pause(ctx, followPause)
+		}
+	}
+	return nil
+}
+
+func (k *keeper) look(ctx context.Context, loaded bool, after uint64) (Changes, error) {
+	if !loaded {
+		return k.entry.deps.Store.Jobs(ctx)
+	}
+	wait := followIdle
+	if k.open.Load() {
+		wait = followOpen
+	}
+	if k.unconfirmed.Load() {
+		wait = 0
+	}
+	return k.entry.deps.Store.JobChanges(ctx, after, wait)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// exchange moves what the core and the ledger ask of each other, in the loop.
+func (k *keeper) exchange(now time.Time, out *core.Output) {
+	for _, name := range out.Disowned {
+		k.ledger.GaveUp(now, name)
+	}
+	for _, r := range out.Records {
+		k.ledger.Record(now, r)
+	}
+	for _, u := range out.Unowned {
+		k.settle(now, u)
+	}
+}
+
+func (k *keeper) settle(now time.Time, u core.Unowned) {
+	noted, void := k.ledger.Settle(u.End)
+	keys := []runs.Key{u.End.Key}
+	switch {
+	case noted:
+		k.entry.core.Settle(now, u.Link, keys, nil)
+	case void:
+		k.entry.core.Settle(now, u.Link, nil, keys)
+	}
+}
+
+// tick lets time pass.
+func (k *keeper) tick(now time.Time) {
+	k.ledger.Peers(now, k.entry.peers.heardLately())
+	k.ledger.Tick(now)
+}
+
+// perform carries out what the ledger asks for. It reports whether the core was
+// given something.
+func (k *keeper) perform(now time.Time) bool {
+	out := k.ledger.Flush()
+	e := k.entry
+	e.core.Confirm(k.ledger.OwnedUntil())
+	for _, w := range out.Writes {
+		k.lanes[e.deps.Store.JobPart(w.Job)].add(w)
+	}
+	for _, a := range out.Answers {
+		if wait := k.waits[a.Request]; wait != nil {
+			delete(k.waits, a.Request)
+			wait <- a.Kind
+		}
+	}
+	for _, name := range out.Disowns {
+		e.core.Disown(now, name)
+	}
+	for _, name := range out.Cancelled {
+		e.core.Cancelled(now, name)
+	}
+	for _, s := range out.Stored {
+		e.core.Recorded(now, s.Job, s.Seq)
+	}
+	for i := range out.Owns {
+		k.own(now, &out.Owns[i])
+	}
+	k.logNotes(now, out.Notes)
+	open := k.ledger.Open()
+	k.open.Store(open > 0)
+	k.unconfirmed.Store(k.ledger.Unconfirmed())
+	return len(out.Disowns)+len(out.Cancelled)+len(out.Stored)+len(out.Owns) > 0
+}
+
+// own has the core run a job. A job whose queue is not configured any more waits.
+func (k *keeper) own(now time.Time, o *ledger.Own) {
+	e := k.entry
+	config := e.Catalog()
+	if config == nil || config.Named(o.Row.Queue) == nil {
+		e.log.Warn().Str("job", o.Job).Str("queue", o.Row.Queue).Msg("entry: the queue of a durable job is not configured")
+		return
+	}
+	e.core.Own(now, &core.Durable{
+		Job: o.Job, Queue: config.Named(o.Row.Queue), Version: config.Version, Spec: o.Row.Spec, Steps: o.Row.Steps,
+		Progress: o.Row.Progress, SafeAt: o.SafeAt,
+	})
+}
+
+func (k *keeper) logNotes(now time.Time, notes []ledger.Note) {
+	e := k.entry
+	for i := range notes {
+		n := &notes[i]
+		telemetry.Count("durable."+metricName(n.Event), e.deps.Metrics)
+		ok, leftOut := e.budget.Allow("durable "+n.Event, now)
+		if !ok {
+			continue
+		}
+		line := e.routeLog.Info()
+		if leftOut > 0 {
+			line.Int("left_out", leftOut)
+		}
+		line.Str("job", n.Job).Str("queue", n.Queue).Uint64("row", n.Version).Uint64("epoch", n.Epoch).
+			Str("reason", n.Reason).Dur("confirmed", n.Age).Msg("route: durable " + n.Event)
+	}
+}
+
+// Accept stores a job and has it run. It returns once the job is stored or refused,
+// or when ctx ends without either being known.
+func (e *Entry) Accept(ctx context.Context, name string, row *ledger.Row) errkind.Kind {
+	return e.keeper.ask(ctx, func(id ledger.RequestID, now time.Time) { e.keeper.ledger.Accept(now, id, name, row) })
+}
+
+// CancelDurable ends a durable job.
+func (e *Entry) CancelDurable(ctx context.Context, name string) errkind.Kind {
+	return e.keeper.ask(ctx, func(id ledger.RequestID, now time.Time) { e.keeper.ledger.Cancel(now, id, name) })
+}
+
+func (k *keeper) ask(ctx context.Context, do func(id ledger.RequestID, now time.Time)) errkind.Kind {
+	id := ledger.RequestID(k.nextID.Add(1))
+	wait := make(chan errkind.Kind, 1)
+	k.entry.post(func(_ *core.Core, now time.Time) {
+		k.waits[id] = wait
+		do(id, now)
+	})
+	select {
+	case kind := <-wait:
+		return kind
+	case <-ctx.Done():
+		k.entry.post(func(*core.Core, time.Time) { delete(k.waits, id) })
+		return errkind.FateUnknown
+	case <-k.entry.work.Done():
+		return errkind.FateUnknown
+	}
+}
+
+// JobStatus is what is known of a durable job.
+type JobStatus struct {
+	State core.JobState
+	// Known is false if there is no such job; Certain is false if that cannot be said
+	// at present.
+	Known, Certain bool
+}
+
+// JobState tells the state of a durable job.
+func (e *Entry) JobState(name string) JobStatus {
+	status := make(chan JobStatus, 1)
+	e.post(func(c *core.Core, now time.Time) {
+		s := JobStatus{Certain: e.keeper.ledger.Fresh(now, freshness)}
+		s.State, s.Known = e.keeper.ledger.State(name)
+		if here, running := c.State(name); running && s.Known && !s.State.Ended() && !here.Ended() {
+			s.State = here
+		}
+		status <- s
+	})
+	select {
+	case s := <-status:
+		return s
+	case <-e.work.Done():
+		return JobStatus{}
+	}
+}
+
+// Waiting counts the durable jobs of a queue of which no task has begun.
+func (e *Entry) Waiting(queue string) int {
+	n := make(chan int, 1)
+	e.post(func(*core.Core, time.Time) { n <- e.keeper.ledger.Waiting(queue) })
+	select {
+	case waiting := <-n:
+		return waiting
+	case <-e.work.Done():
+		return 0
+	}
+}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -22,6 +22,7 @@
 	"peridotpick.example/common/logs"
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
+	"peridotpick.example/core/ledger"
 	"peridotpick.example/service/telemetry"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
@@ -44,6 +45,7 @@
 	Register(ctx context.Context, e runs.Entry) error
 	// Entries lists the registered entries.
 	Entries(ctx context.Context) ([]runs.Entry, error)
+	JobStore
 }
 
 // Deps are what an entry needs from outside.
@@ -63,6 +65,11 @@
 	Address string
 	// Seeds are IP:port of other entries; they may be stale.
 	Seeds []string
+	// Ledger are the settings of durable jobs.
+	Ledger ledger.Settings
+	// WritesPerSecond is the number of transactions a second that all entries
+	// together may make for durable jobs.
+	WritesPerSecond float64
 }
 
 // Sizes of the rings.
@@ -97,6 +104,7 @@
 	nextID   atomic.Uint64
 	config   atomic.Pointer[Document]
 	peers    *peers
+	keeper   *keeper
 	listener net.Listener
 	// workers is the number of workers that can be given work.
 	workers  atomic.Int64
@@ -122,6 +130,7 @@
 	}
 	e.work, e.abort = context.WithCancel(context.Background())
 	e.peers = newPeers(e)
+	e.keeper = newKeeper(e, s.Ledger, s.WritesPerSecond)
 	return e, nil
 }
 
@@ -135,6 +144,7 @@
 	group.Go(func() error { return transport.Serve(work, e.listener, runs.Handler{Server: e}) })
 	group.Go(func() error { return e.followConfig(work) })
 	group.Go(func() error { return e.peers.run(work) })
+	group.Go(func() error { return e.keeper.run(work) })
 	select {
 	case <-ctx.Done():
 	case <-work.Done():
@@ -185,15 +195,30 @@
 			ev(e.core, now)
 			e.drainEvents(now)
 		case <-timer.C:
-			e.core.Tick(boottime.Now())
+			now := boottime.Now()
+			e.core.Tick(now)
+			e.keeper.tick(now)
 			e.publish()
 		}
-		e.perform(e.core.Flush(boottime.Now()))
+		e.settle(boottime.Now())
 		e.workers.Store(int64(e.core.Workers()))
 		timer.Reset(e.tick())
 	}
 }
 
+// settle carries out what the core and the ledger ask for, until neither has
+// given the other something new.
+func (e *Entry) settle(now time.Time) {
+	for {
+		out := e.core.Flush(now)
+		e.perform(out)
+		e.keeper.exchange(now, &out)
+		if !e.keeper.perform(now) {
+			return
+		}
+	}
+}
+
 func (e *Entry) tick() time.Duration {
 	if e.core.Jobs() == 0 {
 		return tickIdle
@@ -264,9 +289,11 @@
 	}
 }
 
+func metricName(event string) string { return strings.ReplaceAll(event, " ", "_") }
+
 // count keeps the metrics of decisions.
 func (e *Entry) count(n *core.Note) {
-	name := strings.ReplaceAll(n.Event, " ", "_")
+	name := metricName(n.Event)
 	switch n.Event {
 	case "end":
 		name = "run." + n.How.String()
@@ -281,6 +308,7 @@
 // publish keeps the metrics of the present state.
 func (e *Entry) publish() {
 	telemetry.Gauge("jobs", e.deps.Metrics, int64(e.core.Jobs()))
+	telemetry.Gauge("durable.open", e.deps.Metrics, int64(e.keeper.ledger.Open()))
 	telemetry.Gauge("workers", e.deps.Metrics, e.workers.Load())
 	telemetry.Gauge("links", e.deps.Metrics, int64(len(e.links)))
 	telemetry.Gauge("config.version", e.deps.Metrics, int64(e.configVersion()))
--- /dev/null
+++ b/service/batch/lane.go
@@ -0,0 +1,145 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	core "peridotpick.example/core/batch"
+	"peridotpick.example/core/ledger"
+)
+
+// lane carries out the writes of one part of the store, several in a transaction.
+// A transaction without an answer is repeated unchanged until its fate is known;
+// writes are conditional, so that repeating them is harmless.
+type lane struct {
+	entry  *Entry
+	writes chan ledger.Write
+	// perSecond is the part's share of the transactions of all entries together.
+	perSecond float64
+}
+
+const (
+	// laneRing bounds the writes that wait.
+	laneRing = 8192
+	// laneGroup is the number of writes in one transaction: the store takes a hundred
+	// conditions and changes together.
+	laneGroup = 45
+	// laneTimeout bounds one transaction, laneRetry is the pause after one that was
+	// refused or got no answer.
+	laneTimeout = 700 * time.Millisecond
+	laneRetry   = 60 * time.Millisecond
+	// urgentTries is how often a write that somebody waits for is tried again after
+	// the store has refused it.
+	urgentTries = 3
+)
+
+func newLane(e *Entry, perSecond float64) *lane {
+	return &lane{entry: e, writes: make(chan ledger.Write, laneRing), perSecond: perSecond}
+}
+
+// add hands a write over. One that finds no room is refused: it was never sent.
+func (l *lane) add(w ledger.Write) {
+	select {
+	case l.writes <- w:
+	default:
+		go l.tell([]ledger.Write{w}, []ledger.Outcome{{Fate: ledger.NotDone}})
+	}
+}
+
+func (l *lane) run(ctx context.Context) error {
+	for {
+		group, ok := l.gather(ctx)
+		if !ok {
+			return nil
+		}
+		began := time.Now()
+		l.carryOut(ctx, group)
+		// Writes gather while the share of transactions is used up.
+		pause(ctx, l.interval()-time.Since(began))
+	}
+}
+
+// interval is the time between two transactions of this entry.
+func (l *lane) interval() time.Duration {
+	entries := len(l.entry.peers.alive())
+	return time.Duration(float64(time.Second) * float64(entries) / l.perSecond)
+}
+
+// gather waits for a write and takes those that wait with it.
+func (l *lane) gather(ctx context.Context) ([]ledger.Write, bool) {
+	var group []ledger.Write
+	select {
+	case w := <-l.writes:
+		group = append(group, w)
+	case <-ctx.Done():
+		return nil, false
+	}
+	for len(group) < laneGroup {
+		select {
+		case w := <-l.writes:
+			group = append(group, w)
+		default:
+			return group, true
+		}
+	}
+	return group, true
+}
+
+// carryOut repeats a group until the fate of all its writes is known.
+func (l *lane) carryOut(ctx context.Context, group []ledger.Write) {
+	certain := true // nothing of the group may be under way
+	for tries := 1; len(group) > 0 && ctx.Err() == nil; tries++ {
+		calling, cancel := context.WithTimeout(ctx, laneTimeout)
+		outcomes, err := l.entry.deps.Store.WriteJobs(calling, group)
+		cancel()
+		if err != nil {
+			l.entry.log.Warn().Err(err).Int("writes", len(group)).Msg("entry: the fate of writes to the store is not known")
+			certain = false
+			pause(ctx, laneRetry)
+			continue
+		}
+		again := l.settle(group, outcomes, certain && tries >= urgentTries && allRefused(outcomes))
+		if len(again) == len(group) {
+			pause(ctx, laneRetry)
+		}
+		group = again
+	}
+}
+
+// settle tells what became of writes and returns those to be tried again: after a
+// conflict the others of the group, after a refusal all but the urgent ones that
+// were tried often enough.
+func (l *lane) settle(group []ledger.Write, outcomes []ledger.Outcome, giveUp bool) []ledger.Write {
+	var again, told []ledger.Write
+	var fates []ledger.Outcome
+	for i, w := range group {
+		if outcomes[i].Fate == ledger.NotDone && !(giveUp && w.Urgent) {
+			again = append(again, w)
+			continue
+		}
+		told = append(told, w)
+		fates = append(fates, outcomes[i])
+	}
+	l.tell(told, fates)
+	return again
+}
+
+func allRefused(outcomes []ledger.Outcome) bool {
+	for _, o := range outcomes {
+		if o.Fate != ledger.NotDone {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *lane) tell(writes []ledger.Write, outcomes []ledger.Outcome) {
+	if len(writes) == 0 {
+		return
+	}
+	l.entry.post(func(_ *core.Core, now time.Time) {
+		for i, w := range writes {
+			l.entry.keeper.ledger.Written(now, w, outcomes[i])
+		}
+	})
+}
--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -276,6 +276,19 @@
 	return list
 }
 
+// heardLately returns the other entries that were heard a moment ago.
+func (p *peers) heardLately() []runs.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []runs.Entry
+	for _, m := range p.met {
+		if time.Since(m.at) < gossipEvery {
+			list = append(list, m.entry)
+		}
+	}
+	return list
+}
+
 // configChanged has all streams speak.
 func (p *peers) configChanged() {
 	p.asking.adopted()
--- a/service/batch/peers_test.go
+++ b/service/batch/peers_test.go
@@ -14,16 +14,31 @@
 	"peridotpick.example/common/logs"
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
+	"peridotpick.example/core/ledger"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
 
 // fakeStore gives its documents, or nothing if it is away.
 type fakeStore struct {
+	noJobs
 	docs   chan *Document
 	parsed atomic.Int64
 }
 
+// noJobs is a store of durable jobs that is away.
+type noJobs struct{}
+
+func (noJobs) Jobs(context.Context) (Changes, error) { return Changes{}, errAway }
+func (noJobs) JobChanges(context.Context, uint64, time.Duration) (Changes, error) {
+	return Changes{}, errAway
+}
+func (noJobs) JobParts() int      { return 1 }
+func (noJobs) JobPart(string) int { return 0 }
+func (noJobs) WriteJobs(context.Context, []ledger.Write) ([]ledger.Outcome, error) {
+	return nil, errAway
+}
+
 var errAway = errors.New("away")
 
 func (s *fakeStore) NextConfig(ctx context.Context) (*Document, error) {
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -278,7 +278,7 @@
 }
 
 func (a *Agent) wakeLooker() {
-	if !a.core.Busy() {
+	if !a.core.LookDue(boottime.Now()) {
 		return
 	}
 	select {
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -17,11 +17,17 @@
 package runs
 
 import (
+	"strings"
 	"time"
 
 	"peridotpick.example/common/room"
 )
 
+// Durable jobs. The end of a run of a durable job is kept by the worker until its
+// agent takes note of it, which the agent does only once the entry has stored the
+// end (Noted). An entry that takes a job over claims it at every agent: the agent
+// hands over the runs it has and the ends that are not stored.
+
 // Key names one run of a task.
 type Key struct {
 	// Task is the task's name, unique among all jobs.
@@ -73,6 +79,8 @@
 	Patience time.Duration `cbor:"6,keyasint"`
 	// Checkpoint resumes an earlier run; empty if there is none.
 	Checkpoint string `cbor:"7,keyasint,omitempty"`
+	// Durable runs' ends are kept until the entry has stored them.
+	Durable bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Owned is a run that an entry believes an agent to have.
@@ -80,6 +88,30 @@
 	Key      Key           `cbor:"1,keyasint"`
 	Need     room.Room     `cbor:"2,keyasint"`
 	Estimate time.Duration `cbor:"3,keyasint"`
+	Durable  bool          `cbor:"4,keyasint,omitempty"`
+}
+
+// Claim takes a durable job over at an agent.
+type Claim struct {
+	Job string `cbor:"1,keyasint"`
+	// Steps tell what a task of each step needs, for runs of which the agent knows
+	// only the name.
+	Steps []ClaimStep `cbor:"2,keyasint"`
+}
+
+// ClaimStep is a step of a claimed job.
+type ClaimStep struct {
+	Need     room.Room     `cbor:"1,keyasint"`
+	Estimate time.Duration `cbor:"2,keyasint"`
+}
+
+// Claimed answers a Claim with all that the agent has of the job. The runs belong
+// to the claiming entry from then on.
+type Claimed struct {
+	Job  string `cbor:"1,keyasint"`
+	Runs []Key  `cbor:"2,keyasint,omitempty"`
+	// Ends are those that no entry has stored yet.
+	Ends []End `cbor:"3,keyasint,omitempty"`
 }
 
 // How tells how a run ended.
@@ -108,6 +140,12 @@
 	return names[0]
 }
 
+// Job returns the job of a task, the first part of its name.
+func (k Key) Job() string {
+	job, _, _ := strings.Cut(k.Task, ".")
+	return job
+}
+
 // Reason tells why a run was refused or stopped.
 type Reason uint8
 
@@ -151,6 +189,8 @@
 	Ran    time.Duration `cbor:"4,keyasint,omitempty"`
 	// Checkpoint is the progress that a later run may resume from.
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
+	// Held ends are kept until the entry says that it has stored them.
+	Held bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Freeing is an expected change of a worker's room.
@@ -206,6 +246,8 @@
 	// Remaining is the expected time to its end; Remaining of a run that stands
 	// still grows.
 	Remaining time.Duration `cbor:"2,keyasint"`
+	// Checkpoint is the newest of a durable run, if it is newer than the last told.
+	Checkpoint string `cbor:"4,keyasint,omitempty"`
 }
 
 // ToEntry is one message from an agent to an entry.
@@ -218,6 +260,10 @@
 	// Clock is the agent's clock at the time of sending, in nanoseconds.
 	Clock    int64      `cbor:"4,keyasint"`
 	Progress []Progress `cbor:"5,keyasint,omitempty"`
+	Claimed  []Claimed  `cbor:"6,keyasint,omitempty"`
+	// Unowned are ends that are kept and that no linked entry owns. An entry answers
+	// for those of its jobs, and of jobs that are not durable or are over.
+	Unowned []End `cbor:"7,keyasint,omitempty"`
 }
 
 // ToAgent is one message from an entry to an agent.
@@ -235,6 +281,12 @@
 	Clock int64 `cbor:"5,keyasint,omitempty"`
 	// Entries are all entries known to be alive.
 	Entries []Entry `cbor:"6,keyasint,omitempty"`
+	Claims  []Claim `cbor:"8,keyasint,omitempty"`
+	// Noted are runs whose ends are stored.
+	Noted []Key `cbor:"9,keyasint,omitempty"`
+	// Void are runs whose ends came too late: their tasks were started again when
+	// the worker's lease had passed, so it must pass before they are forgotten.
+	Void []Key `cbor:"10,keyasint,omitempty"`
 }
 
 // Gossip is what entries tell each other.
