A question for a job's state waits for an end that is near; writes share one budget

Cause: callers ask for the state some milliseconds after the last task's end, before the store has it; told 'running' they ask again 250 ms later. Change: a question for a job that has begun waits for its end, 80 ms at most; looks every 5 ms while ends are kept; one budget of transactions for all parts of an entry.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -76,7 +76,9 @@
 	Disowns   []string
 	Cancelled []string
 	Stored    []Stores
-	Notes     []Note
+	// Ended are jobs that the store has as ended since the last call.
+	Ended []string
+	Notes []Note
 }
 
 // Note is one decision for the log.
@@ -335,6 +337,7 @@
 	delete(c.active, j.name)
 	if j.endedAt.IsZero() {
 		j.endedAt = c.now
+		c.out.Ended = append(c.out.Ended, j.name)
 	}
 }
 
--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -23,7 +23,7 @@
 const (
 	// heldLookEvery is the shortest time between looks while ends are held: the
 	// worker answers such looks at once.
-	heldLookEvery = 20 * time.Millisecond
+	heldLookEvery = 5 * time.Millisecond
 	// askAgain is the time after which entries are asked again about ends that no
 	// linked entry owns.
 	askAgain = 500 * time.Millisecond
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"peridotpick.example/common/boottime"
 	"peridotpick.example/common/errkind"
@@ -60,7 +61,12 @@
 	entry  *Entry
 	ledger *ledger.Core
 	waits  map[ledger.RequestID]chan errkind.Kind
-	lanes  []*lane
+	// watched are jobs whose state somebody asked for who would rather hear the end.
+	watched map[string][]chan<- struct{}
+	lanes   []*lane
+	// budget is this entry's share of the store's transactions.
+	budget *rate.Limiter
+	total  float64
 	// open is true while this entry has open jobs, unconfirmed while some of them
 	// wait for a confirmation.
 	open, unconfirmed atomic.Bool
@@ -70,8 +76,10 @@
 func newKeeper(e *Entry, s ledger.Settings, writesPerSecond float64) *keeper {
 	s.Self = e.self
 	k := &keeper{entry: e, ledger: ledger.New(s, boottime.Now()), waits: make(map[ledger.RequestID]chan errkind.Kind)}
+	k.watched = make(map[string][]chan<- struct{})
+	k.budget, k.total = rate.NewLimiter(rate.Limit(writesPerSecond), writeBurst), writesPerSecond
 	for range e.deps.Store.JobParts() {
-		k.lanes = append(k.lanes, newLane(e, writesPerSecond/float64(e.deps.Store.JobParts())))
+		k.lanes = append(k.lanes, newLane(e, k.budget))
 	}
 	return k
 }
@@ -178,8 +186,12 @@
 func (k *keeper) tick(now time.Time) {
 	k.ledger.Peers(now, k.entry.peers.heardLately())
 	k.ledger.Tick(now)
+	k.budget.SetLimit(rate.Limit(k.total / float64(len(k.entry.peers.alive()))))
 }
 
+// writeBurst is the number of transactions that may leave at once after a calm.
+const writeBurst = 8
+
 // perform carries out what the ledger asks for. It reports whether the core was
 // given something.
 func (k *keeper) perform(now time.Time) bool {
@@ -207,6 +219,12 @@
 	for i := range out.Owns {
 		k.own(now, &out.Owns[i])
 	}
+	for _, name := range out.Ended {
+		for _, w := range k.watched[name] {
+			close(w)
+		}
+		delete(k.watched, name)
+	}
 	k.logNotes(now, out.Notes)
 	open := k.ledger.Open()
 	k.open.Store(open > 0)
@@ -283,8 +301,30 @@
 	Known, Certain bool
 }
 
-// JobState tells the state of a durable job.
-func (e *Entry) JobState(name string) JobStatus {
+// statusWait is how long a question for the state of a running job waits for its
+// end. Callers ask right after the last task has ended, some milliseconds before the
+// store has that; told "running", they come back much later.
+const statusWait = 80 * time.Millisecond
+
+// JobState tells the state of a durable job. If it has begun, that is told as soon
+// as it ends, or after a moment.
+func (e *Entry) JobState(ctx context.Context, name string) JobStatus {
+	ended := make(chan struct{})
+	status := e.jobState(name, ended)
+	if !status.Known || status.State != core.JobRunning {
+		return status
+	}
+	select {
+	case <-ended:
+	case <-time.After(statusWait):
+	case <-ctx.Done():
+	}
+	return e.jobState(name, nil)
+}
+
+// jobState tells what is known now. A job that has not ended closes ended when it
+// does; without it nothing is watched any more.
+func (e *Entry) jobState(name string, ended chan<- struct{}) JobStatus {
 	status := make(chan JobStatus, 1)
 	e.post(func(c *core.Core, now time.Time) {
 		s := JobStatus{Certain: e.keeper.ledger.Fresh(now, freshness)}
@@ -292,6 +332,9 @@
 		if here, running := c.State(name); running && s.Known && !s.State.Ended() && !here.Ended() {
 			s.State = here
 		}
+		if s.Known && !s.State.Ended() && ended != nil {
+			e.keeper.watched[name] = append(e.keeper.watched[name], ended)
+		}
 		status <- s
 	})
 	select {
--- a/service/batch/lane.go
+++ b/service/batch/lane.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/ledger"
 )
@@ -14,8 +16,8 @@
 type lane struct {
 	entry  *Entry
 	writes chan ledger.Write
-	// perSecond is the part's share of the transactions of all entries together.
-	perSecond float64
+	// budget is the entry's share of the transactions of all entries together.
+	budget *rate.Limiter
 }
 
 const (
@@ -33,8 +35,8 @@
 	urgentTries = 3
 )
 
-func newLane(e *Entry, perSecond float64) *lane {
-	return &lane{entry: e, writes: make(chan ledger.Write, laneRing), perSecond: perSecond}
+func newLane(e *Entry, budget *rate.Limiter) *lane {
+	return &lane{entry: e, writes: make(chan ledger.Write, laneRing), budget: budget}
 }
 
 // add hands a write over. One that finds no room is refused: it was never sent.
@@ -52,20 +54,12 @@
 		if !ok {
 			return nil
 		}
-		began := time.Now()
 		l.carryOut(ctx, group)
-		// Writes gather while the share of transactions is used up.
-		pause(ctx, l.interval()-time.Since(began))
 	}
 }
 
-// interval is the time between two transactions of this entry.
-func (l *lane) interval() time.Duration {
-	entries := len(l.entry.peers.alive())
-	return time.Duration(float64(time.Second) * float64(entries) / l.perSecond)
-}
-
-// gather waits for a write and takes those that wait with it.
+// gather waits for a write and takes those that have come until the budget allows
+// a transaction.
 func (l *lane) gather(ctx context.Context) ([]ledger.Write, bool) {
 	var group []ledger.Write
 	select {
@@ -74,6 +68,9 @@
 	case <-ctx.Done():
 		return nil, false
 	}
+	if l.budget.Wait(ctx) != nil {
+		return nil, false
+	}
 	for len(group) < laneGroup {
 		select {
 		case w := <-l.writes:
