Incarnations are drawn at random: two entries that start together had the same

Cause: an entry's incarnation was its start in nanoseconds. Agents keep owner leases, and the store's rows keep owners, by incarnation: each of the two renewed the other's runs, and both ran the other's jobs. Ruled out: takeover (no such line), a resend of the caller (one accept line). Change: common/incarnation mixes the system's randomness, the address and the time. TestProcessesThatStartTogetherDiffer.

--- /dev/null
+++ b/common/incarnation/incarnation_test.go
@@ -0,0 +1,20 @@
+package incarnation
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestProcessesThatStartTogetherDiffer(t *testing.T) {
+	is := is.New(t)
+	seen := make(map[uint64]bool)
+	for range 1000 {
+		for _, address := range []string{"127.0.0.1:1", "127.0.0.2:1"} {
+			number := New(address)
+			is.True(number != 0)
+			is.True(!seen[number])
+			seen[number] = true
+		}
+	}
+}
--- a/service/agent/agent.go
+++ b/service/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"peridotpick.example/common/incarnation"
 	"peridotpick.example/common/logs"
 	"peridotpick.example/common/settings"
 	"peridotpick.example/common/table"
@@ -92,7 +93,7 @@
 		address = listener.Addr().String() // the port may have been chosen by the system
 	}
 	info := wire.AgentInfo{
-		ID: s.ID, Incarnation: uint64(time.Now().UnixNano()), Address: address, Worker: s.Worker,
+		ID: s.ID, Incarnation: incarnation.New(address), Address: address, Worker: s.Worker,
 		DataCentre: s.DataCentre, Rack: s.Rack, Service: s.Service, Labels: allLabels(s),
 		Slots: s.Slots, Queue: s.Queue,
 	}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -19,6 +19,7 @@
 
 	"peridotpick.example/common/boottime"
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/common/incarnation"
 	"peridotpick.example/common/logs"
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
@@ -119,12 +120,12 @@
 	if err != nil {
 		return nil, err
 	}
-	incarnation := uint64(time.Now().UnixNano())
-	s.Core.Seed = incarnation
+	number := incarnation.New(s.Address)
+	s.Core.Seed = number
 	e := &Entry{
 		settings: s, deps: deps, log: deps.Logs.For(logs.Entry), routeLog: deps.Logs.For(logs.Route),
 		budget: logs.NewBudget(linesPerSecond),
-		self:   runs.Entry{Address: s.Address, Incarnation: incarnation, DataCentre: s.Core.DataCentre},
+		self:   runs.Entry{Address: s.Address, Incarnation: number, DataCentre: s.Core.DataCentre},
 		core:   core.New(s.Core), events: make(chan event, eventRing), links: make(map[core.LinkID]*link),
 		waiting: make(map[core.RequestID]chan core.Answer), listener: listener,
 	}
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotpick.example/common/config"
+	"peridotpick.example/common/incarnation"
 	"peridotpick.example/common/logs"
 	"peridotpick.example/common/settings"
 	"peridotpick.example/common/table"
@@ -119,7 +120,7 @@
 	}
 	e := &Entry{
 		settings: s, deps: deps, log: deps.Logs.For(logs.Entry), routeLog: deps.Logs.For(logs.Route),
-		self:   wire.EntryInfo{ID: s.ID, Incarnation: uint64(time.Now().UnixNano()), Address: address, DataCentre: s.DataCentre},
+		self:   wire.EntryInfo{ID: s.ID, Incarnation: incarnation.New(address), Address: address, DataCentre: s.DataCentre},
 		events: make(chan event, eventRing), pending: make(map[uint64]chan *wire.Outcome),
 		reads: make(chan struct{}, maxReads), callers: newTrackedListener(callers), peers: peers,
 	}
