Entries judge time also under load; ends that are not stored are asked about

Cause: the loop's timer was set anew after each event, so with more than 50 events a second it never fired: deadlines, lost agents, slow runs, the typical pace of workers and takeovers were judged only in calm moments. Ruled out: writes of takeovers that fail (none were made). Change: time is judged between events when a tick is due. Agents ask all entries every 0.5 s about ends that are not stored, and say so in the log. TestTimePassesUnderLoad failed before (20 s without a tick).

--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -14,7 +14,7 @@
 	end    runs.End
 	// owner is the entry that the end was told to; 0 if none is known.
 	owner uint64
-	// askedAt is when entries were last asked about an end without an owner.
+	// askedAt is when entries were last asked about the end; at first when it was listed.
 	askedAt time.Time
 	// void ends came too late for their entry.
 	void bool
@@ -24,8 +24,9 @@
 	// heldLookEvery is the shortest time between looks while ends are held: the
 	// worker answers such looks at once.
 	heldLookEvery = 5 * time.Millisecond
-	// askAgain is the time after which entries are asked again about ends that no
-	// linked entry owns.
+	// askAgain is the time after which all entries are asked about an end: its owner
+	// may be gone, or may have lost the job. One end that is kept holds up all later
+	// ones, and a worker lists only so many.
 	askAgain = 500 * time.Millisecond
 )
 
@@ -41,7 +42,11 @@
 // hold keeps an end until an entry has stored it.
 func (c *Core) hold(number int64, owner uint64, end runs.End) {
 	end.Held = true
-	c.held.Put(number, &heldEnd{number: number, end: end, owner: owner})
+	h := &heldEnd{number: number, end: end, owner: owner}
+	if owner != 0 {
+		h.askedAt = c.now // it is told to its owner
+	}
+	c.held.Put(number, h)
 }
 
 // noted releases the ends of runs that an entry has stored, or need not store.
@@ -107,26 +112,18 @@
 	}
 }
 
-// askAboutHeld asks all entries about ends whose owner is not known or has no
-// link. They answer for jobs that are not durable or have ended.
+// askAboutHeld asks all entries about ends that were not stored for a while. The
+// owner of the job answers, or any entry if the job is not durable or has ended.
 func (c *Core) askAboutHeld() {
 	for h := range c.held.Values() {
-		if h.void || c.now.Sub(h.askedAt) < askAgain || h.owner != 0 && c.linked(h.owner) {
+		if h.void || c.now.Sub(h.askedAt) < askAgain {
 			continue
 		}
 		h.askedAt = c.now
+		c.out.Notes = append(c.out.Notes, Note{Event: "end not stored", Key: h.end.Key, Reason: h.end.Reason})
 		for l := range c.links.Values() {
 			l.out.Unowned = append(l.out.Unowned, h.end)
 			l.dirty = true
 		}
 	}
 }
-
-func (c *Core) linked(incarnation uint64) bool {
-	for l := range c.links.Values() {
-		if l.entry.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
-}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -110,6 +110,9 @@
 	// workers is the number of workers that can be given work.
 	workers  atomic.Int64
 	draining atomic.Bool
+	// tickedAt is when time was last judged; ticks counts that.
+	tickedAt time.Time
+	ticks    atomic.Int64
 	work     context.Context
 	abort    context.CancelFunc
 }
@@ -196,17 +199,28 @@
 			ev(e.core, now)
 			e.drainEvents(now)
 		case <-timer.C:
-			now := boottime.Now()
-			e.core.Tick(now)
-			e.keeper.tick(now)
-			e.publish()
 		}
-		e.settle(boottime.Now())
+		now := boottime.Now()
+		e.judgeTime(now)
+		e.settle(now)
 		e.workers.Store(int64(e.core.Workers()))
 		timer.Reset(e.tick())
 	}
 }
 
+// judgeTime lets the core judge what has passed. It is done between events, too: a
+// timer that each event sets anew would never fire under load.
+func (e *Entry) judgeTime(now time.Time) {
+	if now.Sub(e.tickedAt) < e.tick() {
+		return
+	}
+	e.tickedAt = now
+	e.ticks.Add(1)
+	e.core.Tick(now)
+	e.keeper.tick(now)
+	e.publish()
+}
+
 // settle carries out what the core and the ledger ask for, until neither has
 // given the other something new.
 func (e *Entry) settle(now time.Time) {
