Schedules of durable jobs; a job that is not known here may be new

core/schedule plays entries with ledgers over a simulated store (outages, lost answers, writes carried out late, entries cut from store and peers) beside the faults of before, and checks: no start of a task after a noted end of it, jobs shown as done are done, accepted jobs end. Cause: an agent asked about an end, and an entry that had not yet seen the job's row answered that nobody needs it. Change: that answer waits for a look at the changes sent after the question. Looks are rarer while an end is kept for long.

--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -38,6 +38,7 @@
 		return
 	}
 	if j == nil {
+		delete(c.doubts, s.Job)
 		j = &job{name: s.Job, row: s.Row, version: s.Version}
 		c.put(j)
 		// A row of this entry that is not known here comes from a write whose sender
@@ -78,7 +79,9 @@
 	rankDelay = 1500 * time.Millisecond
 	// sweepEvery is the time between two searches for rows to remove, removalsAtOnce
 	// the number that one removes.
-	sweepEvery     = 5 * time.Second
+	sweepEvery = 5 * time.Second
+	// doubtLasts is far above the time after which agents ask again.
+	doubtLasts     = 30 * time.Second
 	removalsAtOnce = 200
 )
 
@@ -98,6 +101,7 @@
 	if now.Sub(c.sweptAt) >= sweepEvery {
 		c.sweptAt = now
 		c.removeOld()
+		c.forgetDoubts()
 	}
 }
 
@@ -167,6 +171,15 @@
 	return h.Sum64()
 }
 
+// forgetDoubts forgets questions that were not repeated.
+func (c *Core) forgetDoubts() {
+	for name, asked := range c.doubts {
+		if c.now.Sub(asked) > doubtLasts {
+			delete(c.doubts, name)
+		}
+	}
+}
+
 // removeOld removes rows of jobs that ended long ago. The entry that is first in
 // the job's order does it.
 func (c *Core) removeOld() {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -128,6 +128,8 @@
 	// active are the jobs that have not ended.
 	active map[string]*job
 	peers  map[string]peer
+	// doubts are jobs that are not known here, with the time they were first asked for.
+	doubts map[string]time.Time
 	// loaded is set once all rows were read; confirmedAt is when the newest answered
 	// look at the changes was sent.
 	loaded      bool
@@ -143,7 +145,7 @@
 // New returns an empty ledger.
 func New(s Settings, now time.Time) *Core {
 	return &Core{
-		settings: s, jobs: make(map[string]*job), active: make(map[string]*job), peers: make(map[string]peer),
+		settings: s, jobs: make(map[string]*job), active: make(map[string]*job), peers: make(map[string]peer), doubts: make(map[string]time.Time),
 		startedAt: now, now: now,
 	}
 }
@@ -291,14 +293,16 @@
 // Settle decides about the end of a run of a job that the entry does not run. It
 // may be forgotten if nobody needs it, and is void if the job may have ended by
 // another run. Otherwise its owner will ask for it.
-func (c *Core) Settle(end runs.End) (noted, void bool) {
-	if !c.loaded {
-		return false, false
-	}
+//
+// A job that is not known here may have been accepted elsewhere a moment ago. Its row
+// was in the store before the run began, so that a look at the changes sent after the
+// question shows it; until then there is no answer.
+func (c *Core) Settle(now time.Time, end runs.End) (noted, void bool) {
+	c.now = now
 	j := c.jobs[end.Key.Job()]
 	switch {
 	case j == nil:
-		return true, false
+		return c.certainlyUnknown(end.Key.Job()), false
 	case !j.row.State.Ended():
 		return false, false
 	case j.row.State == batch.JobCancelled, end.How != runs.Done && end.How != runs.Failed:
@@ -307,6 +311,20 @@
 	return false, true
 }
 
+// certainlyUnknown reports whether a job that is not known here is in no row.
+func (c *Core) certainlyUnknown(name string) bool {
+	asked, before := c.doubts[name]
+	if !before {
+		c.doubts[name] = c.now
+		return false
+	}
+	if !c.loaded || !c.confirmedAt.After(asked) {
+		return false
+	}
+	delete(c.doubts, name)
+	return true
+}
+
 func (c *Core) answer(id RequestID, kind errkind.Kind) {
 	c.out.Answers = append(c.out.Answers, Answer{Request: id, Kind: kind})
 }
--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -14,6 +14,8 @@
 	end    runs.End
 	// owner is the entry that the end was told to; 0 if none is known.
 	owner uint64
+	// listedAt is when the worker listed it first.
+	listedAt time.Time
 	// askedAt is when entries were last asked about the end; at first when it was listed.
 	askedAt time.Time
 	// void ends came too late for their entry.
@@ -24,12 +26,26 @@
 	// heldLookEvery is the shortest time between looks while ends are held: the
 	// worker answers such looks at once.
 	heldLookEvery = 5 * time.Millisecond
+	// heldLongEvery is that time once an end is kept for askAgain, as in an outage of
+	// the store: 200 looks a second would take a quarter of an agent's processor.
+	heldLongEvery = 20 * time.Millisecond
 	// askAgain is the time after which all entries are asked about an end: its owner
 	// may be gone, or may have lost the job. One end that is kept holds up all later
 	// ones, and a worker lists only so many.
 	askAgain = 500 * time.Millisecond
 )
 
+// lookPause returns the shortest time between two looks.
+func (c *Core) lookPause() time.Duration {
+	for h := range c.held.Values() {
+		if c.now.Sub(h.listedAt) > askAgain {
+			return heldLongEvery
+		}
+		return heldLookEvery
+	}
+	return 0
+}
+
 // notedUpTo returns the number up to which all ends may be forgotten.
 func (c *Core) notedUpTo() int64 {
 	noted := c.worker.lastSeen
@@ -42,7 +58,7 @@
 // hold keeps an end until an entry has stored it.
 func (c *Core) hold(number int64, owner uint64, end runs.End) {
 	end.Held = true
-	h := &heldEnd{number: number, end: end, owner: owner}
+	h := &heldEnd{number: number, end: end, owner: owner, listedAt: c.now}
 	if owner != 0 {
 		h.askedAt = c.now // it is told to its owner
 	}
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -164,7 +164,8 @@
 
 // LookDue reports whether the worker should be looked at now.
 func (c *Core) LookDue(now time.Time) bool {
-	return c.Busy() && (c.held.Len() == 0 || now.Sub(c.lookedAt) >= heldLookEvery)
+	c.now = now
+	return c.Busy() && now.Sub(c.lookedAt) >= c.lookPause()
 }
 
 // NextLook returns the next look, if there is a need.
--- a/core/schedule/processes_test.go
+++ b/core/schedule/processes_test.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"peridotpick.example/common/errkind"
 	"peridotpick.example/core/batch"
+	"peridotpick.example/core/ledger"
 	"peridotpick.example/core/runner"
 	"peridotpick.example/wire/runs"
 )
@@ -223,6 +225,11 @@
 	links   map[batch.LinkID]*simLink
 	open    map[batch.RequestID]*request
 	nextID  uint64
+	ledger  *ledger.Core
+	// asks are callers that wait for the answer about a durable job.
+	asks map[ledger.RequestID]func(errkind.Kind)
+	// cut entries reach neither the store nor other entries.
+	cut bool
 }
 
 func newEntryProcess(w *world, address string) *entryProcess {
@@ -243,7 +250,12 @@
 		IdleBeat: 500 * time.Millisecond, SilentAfter: 1600 * time.Millisecond, StallLimit: 350 * time.Millisecond,
 		Settling: 100 * time.Millisecond, RemoteFactor: 1.5, CrossCost: time.Millisecond, Overhead: 10 * time.Millisecond,
 	})
+	e.asks = make(map[ledger.RequestID]func(errkind.Kind))
+	e.ledger = ledger.New(ledger.Settings{
+		Self: e.self, OwnFor: ownFor, RunsOver: ownerLease + runsOver, SilentAfter: entrySilent, KeepEnded: time.Hour, MaxOpen: 1000,
+	}, e.w.now)
 	e.ticks()
+	e.follow(0, true)
 	for _, a := range e.w.agents {
 		e.w.connect(a, e)
 	}
@@ -252,12 +264,18 @@
 func (e *entryProcess) ticks() {
 	e.deliver(tick, func() {
 		e.core.Tick(e.w.now)
+		e.hearPeers()
 		e.perform()
 		e.ticks()
 	})
 }
 
 func (e *entryProcess) perform() {
+	for e.performOnce() {
+	}
+}
+
+func (e *entryProcess) performOnce() bool {
 	out := e.core.Flush(e.w.now)
 	for _, n := range out.Notes {
 		e.w.tell("%s %s %s %s/%d on %s %s %s", e.address, n.Event, n.Job, n.Key.Task, n.Key.Run, n.Worker, n.How, n.Reason)
@@ -279,6 +297,7 @@
 			e.w.took(r.job, a)
 		}
 	}
+	return e.exchange(&out)
 }
 
 func (e *entryProcess) kill(pause time.Duration) {
--- a/core/schedule/worker_test.go
+++ b/core/schedule/worker_test.go
@@ -80,6 +80,9 @@
 	if k.down {
 		return
 	}
+	if k.clock() > k.until {
+		k.w.lapse(k)
+	}
 	for task, r := range k.running {
 		switch {
 		case !r.stopping.IsZero() && !k.w.now.Before(r.stopping):
@@ -103,6 +106,9 @@
 	k.number++
 	k.ended = append(k.ended, runner.Ended{Number: k.number, Key: runs.Key{Task: task, Run: r.run}, How: how})
 	k.w.tell("worker %s ends %s/%d %s", k.id, task, r.run, how)
+	if how == runs.Done {
+		k.w.endedDone(k, runs.Key{Task: task, Run: r.run}, k.number)
+	}
 	k.w.ranUntil(task, k)
 }
 
@@ -171,6 +177,7 @@
 	if len(k.running) > 0 {
 		k.until = max(k.until, l.Deadline)
 	}
+	k.w.noteEnds(k, l.LastSeen)
 	kept := k.ended[:0:0]
 	for _, e := range k.ended {
 		if e.Number > l.LastSeen {
@@ -182,6 +189,10 @@
 	k.answerLook()
 }
 
+// listedAtOnce is how many ends a worker lists; the others follow when these may be
+// forgotten.
+const listedAtOnce = 50
+
 func (k *worker) answerLook() {
 	p := k.look
 	if p == nil || len(k.ended) == 0 && k.w.now.Before(p.at) {
@@ -196,6 +207,6 @@
 		}
 		listing.Running = append(listing.Running, runner.Running{Key: runs.Key{Task: task, Run: r.run}, Percent: min(percent, 99)})
 	}
-	listing.Ended = append(listing.Ended, k.ended...)
+	listing.Ended = append(listing.Ended, k.ended[:min(len(k.ended), listedAtOnce)]...)
 	p.answer(runner.Answer{Verdict: runner.Accepted, Clock: k.clock()}, listing)
 }
--- a/core/schedule/world_test.go
+++ b/core/schedule/world_test.go
@@ -8,7 +8,7 @@
 
 	"peridotpick.example/common/room"
 	"peridotpick.example/core/batch"
-	"peridotpick.example/core/catalog"
+	"peridotpick.example/core/ledger"
 	"peridotpick.example/wire/runs"
 )
 
@@ -65,9 +65,15 @@
 	needs    map[string]room.Room
 	// lostOrders is the share of orders that get no answer.
 	lostOrders float64
-	broken     []string
-	done       int
-	starts     int
+	store      *store
+	// accepted are durable jobs whose callers heard so; tasksOf their numbers of tasks.
+	accepted map[string]bool
+	tasksOf  map[string]int
+	// doneRuns are the runs of durable tasks that ended done.
+	doneRuns map[string][]*doneRun
+	broken   []string
+	done     int
+	starts   int
 	// lines is the story of a schedule that is played alone.
 	lines    []string
 	story    bool
@@ -80,6 +86,8 @@
 		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 7)), runningOn: make(map[string]map[*worker]bool),
 		began: make(map[string]bool), answered: make(map[string][]batch.Answer), attempts: make(map[string]int), needs: make(map[string]room.Room),
 	}
+	w.store = &store{w: w, rows: make(map[string]ledger.Stored)}
+	w.accepted, w.tasksOf, w.doneRuns = make(map[string]bool), make(map[string]int), make(map[string][]*doneRun)
 	for i := range 4 {
 		w.workers = append(w.workers, newWorker(w, fmt.Sprintf("w%d", i)))
 		w.agents = append(w.agents, newAgentProcess(w, w.workers[i]))
@@ -134,6 +142,7 @@
 // startedOn checks what must hold when a worker starts a run.
 func (w *world) startedOn(key runs.Key, k *worker) {
 	w.starts++
+	w.restarts(key)
 	job := key.Task[:16]
 	w.began[job] = true
 	for _, a := range w.answered[job] {
@@ -185,12 +194,11 @@
 	e.nextID++
 	r := &request{id: batch.RequestID(e.nextID), job: job}
 	life := e.life
-	q := &catalog.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 1.6, Target: 500 * time.Millisecond}
 	need := w.needOf(job, tasks)
 	e.open[r.id] = r
 	e.deliver(3*time.Millisecond, func() {
 		e.core.Submit(w.now, &batch.Request{
-			ID: r.id, Job: job, Queue: q, Spec: "x", Deadline: w.now.Add(patience),
+			ID: r.id, Job: job, Queue: testQueue, Spec: "x", Deadline: w.now.Add(patience),
 			Steps: []batch.Step{{Count: tasks, Need: need, Estimate: 200 * time.Millisecond}},
 		})
 		e.perform()
@@ -204,6 +212,7 @@
 	if need, known := w.needs[first]; known {
 		return need
 	}
+	w.tasksOf[job] = tasks
 	need := room.Room{CPU: 1500 + w.rand.IntN(1500), Memory: 10}
 	for i := range tasks {
 		w.needs[fmt.Sprintf("%s.0.0.%d", job, i)] = need
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -49,9 +49,10 @@
 	// calls to the store, and how old a job's state may be at other entries.
 	followPause = 80 * time.Millisecond
 	// followOpen is how long a look waits while this entry has open jobs, so that its
-	// ownership is confirmed often enough; followIdle otherwise.
+	// ownership is confirmed often enough; followIdle otherwise: agents' questions
+	// about jobs that are not known here wait for the next look.
 	followOpen = time.Second
-	followIdle = 10 * time.Second
+	followIdle = 2 * time.Second
 	// freshness is how new the known jobs must be to say that there is no such job.
 	freshness = 2 * time.Second
 )
@@ -172,7 +173,7 @@
 }
 
 func (k *keeper) settle(now time.Time, u core.Unowned) {
-	noted, void := k.ledger.Settle(u.End)
+	noted, void := k.ledger.Settle(now, u.End)
 	keys := []runs.Key{u.End.Key}
 	switch {
 	case noted:
