Durable jobs: which run counted is kept, order of the backlog by use, time-outs that follow the store

Transactions that took longer than 0.7 s were made again, which made the store slower. What had waited meanwhile went first after. Change: rows of ended jobs keep the run that counted for each task, so that only other runs are void; a transaction may take four times what the last one took; jobs that can still end in time go before those that cannot.

--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -168,8 +168,10 @@
 	// were last looked at.
 	backlogged bool
 	backlogAt  time.Time
-	now        time.Time
-	out        Output
+	// walks counts the walks of the backlog.
+	walks int
+	now   time.Time
+	out   Output
 }
 
 // New returns a core without agents.
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -153,6 +153,10 @@
 	j := c.newJob(&Request{Job: d.Job, Queue: d.Queue, Version: d.Version, Spec: d.Spec, Steps: d.Steps})
 	j.requests = nil
 	j.durable = &durable{safeAt: d.SafeAt}
+	if now.Before(d.SafeAt) {
+		// Its former owner has been gone about as long as is waited for now.
+		j.arrived = now.Add(now.Sub(d.SafeAt))
+	}
 	for i := range d.Progress {
 		j.restore(&d.Progress[i])
 	}
@@ -202,9 +206,11 @@
 			if t.run == 0 {
 				continue
 			}
-			list = append(list, TaskProgress{
-				Step: i, Index: n, Done: t.state == taskDone, Failures: t.failures, Run: t.run, Checkpoint: t.checkpoint,
-			})
+			p := TaskProgress{Step: i, Index: n, Done: t.state == taskDone, Failures: t.failures, Run: t.run}
+			if !p.Done {
+				p.Checkpoint = t.checkpoint
+			}
+			list = append(list, p)
 		}
 	}
 	return list
@@ -290,11 +296,7 @@
 				d.due[i].seq = d.seq
 			}
 		}
-		r := Record{Job: name, Seq: d.seq, State: d.state}
-		if !d.state.Ended() {
-			r.Progress = j.progress()
-		}
-		c.out.Records = append(c.out.Records, r)
+		c.out.Records = append(c.out.Records, Record{Job: name, Seq: d.seq, State: d.state, Progress: j.progress()})
 	}
 }
 
@@ -503,16 +505,17 @@
 		return
 	}
 	c.backlogAt = c.now
-	var waiting []*job
+	c.walks++
+	var waiting []backlogged
 	for j := range c.jobs.Values() {
 		if j.durable != nil && !j.ended && c.mayStart(j) && j.hasWaiting() {
-			waiting = append(waiting, j)
+			waiting = append(waiting, backlogged{job: j, use: c.useOf(j), turn: j.turn()})
 		}
 	}
-	sort.SliceStable(waiting, func(i, k int) bool { return waiting[i].turn().Before(waiting[k].turn()) })
+	sort.SliceStable(waiting, func(i, k int) bool { return waiting[i].goesBefore(waiting[k]) })
 	misses := 0
-	for _, j := range waiting {
-		if !c.placeDurable(j) {
+	for _, w := range waiting {
+		if !c.placeDurable(w.job) {
 			misses++
 		}
 		if misses >= backlogMisses {
@@ -522,7 +525,53 @@
 	c.backlogged = misses > 0
 }
 
-// turn orders the jobs of the backlog.
+// use tells what a job's end is still good for.
+type use uint8
+
+const (
+	// inAim jobs can still end within their objective, usable ones soon after.
+	inAim use = iota
+	usable
+	// outlived jobs end too late for their callers' purpose. They were accepted, so
+	// they are run, but not before others that would become late as well.
+	outlived
+)
+
+// outlivedTurn is the number of walks of which one begins with the jobs that have
+// outlived their use, so that they get on under lasting overload, too.
+const outlivedTurn = 8
+
+func (c *Core) useOf(j *job) use {
+	switch slack := j.slackLeft(c.now); {
+	case slack >= 0:
+		return inAim
+	case slack >= -(lateFactor-1)*j.objective:
+		return usable
+	}
+	if c.walks%outlivedTurn == 0 {
+		return inAim
+	}
+	return outlived
+}
+
+// backlogged is a durable job with tasks that wait for room.
+type backlogged struct {
+	job  *job
+	use  use
+	turn time.Time
+}
+
+// goesBefore orders the backlog. The load it answers: after an outage of the store or
+// the loss of an entry seconds of work wait; first come, first served would then make
+// all later jobs late as well, for as long as the load is near the room there is.
+func (b backlogged) goesBefore(other backlogged) bool {
+	if b.use != other.use {
+		return b.use < other.use
+	}
+	return b.turn.Before(other.turn)
+}
+
+// turn orders jobs of the same use.
 func (j *job) turn() time.Time {
 	return j.arrived.Add(j.objective + time.Duration(j.queue.Priority)*priorityStep)
 }
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -152,15 +152,15 @@
 		s.left = s.Count
 		j.left += s.Count
 		for n := range s.Count {
-			s.tasks = append(s.tasks, &task{job: j, step: s, name: taskName(r.Job, i, n)})
+			s.tasks = append(s.tasks, &task{job: j, step: s, name: TaskName(r.Job, i, n)})
 		}
 	}
 	j.objective = j.queue.Objective(j.chain())
 	return j
 }
 
-// taskName returns the name of a task of a job that runs once.
-func taskName(job string, step, index int) string {
+// TaskName returns the name of a task of a job that runs once.
+func TaskName(job string, step, index int) string {
 	return job + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
 }
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -305,12 +305,22 @@
 		return c.certainlyUnknown(end.Key.Job()), false
 	case !j.row.State.Ended():
 		return false, false
-	case j.row.State == batch.JobCancelled, end.How != runs.Done && end.How != runs.Failed:
+	case j.row.State == batch.JobCancelled, end.How != runs.Done && end.How != runs.Failed, j.row.counts(end.Key):
 		return true, false
 	}
 	return false, true
 }
 
+// counts reports whether a run is the one by which its task ended.
+func (r *Row) counts(key runs.Key) bool {
+	for _, p := range r.Progress {
+		if key.Task == batch.TaskName(key.Job(), p.Step, p.Index) {
+			return key.Run == p.Run
+		}
+	}
+	return false
+}
+
 // certainlyUnknown reports whether a job that is not known here is in no row.
 func (c *Core) certainlyUnknown(name string) bool {
 	asked, before := c.doubts[name]
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -19,9 +19,10 @@
 	// it again after a lost answer.
 	Writer uint64 `cbor:"5,keyasint"`
 	Write  uint64 `cbor:"6,keyasint"`
-	// Spec, Steps and Progress are dropped once the job has ended.
-	Spec     string               `cbor:"7,keyasint,omitempty"`
-	Steps    []batch.Step         `cbor:"8,keyasint,omitempty"`
+	// Spec and Steps are dropped once the job has ended.
+	Spec  string       `cbor:"7,keyasint,omitempty"`
+	Steps []batch.Step `cbor:"8,keyasint,omitempty"`
+	// Progress of an ended job tells which run of each task counted.
 	Progress []batch.TaskProgress `cbor:"9,keyasint,omitempty"`
 }
 
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -13,7 +13,7 @@
 	row.Writer = c.settings.Self.Incarnation
 	row.Write = c.lastWrite
 	if row.State.Ended() {
-		row.Spec, row.Steps, row.Progress = "", nil, nil
+		row.Spec, row.Steps = "", nil
 	}
 	w := Write{Job: j.name, Expect: j.version, Row: &row, Urgent: urgent, id: c.lastWrite, seq: seq}
 	j.writing = &w
--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -84,6 +84,7 @@
 		for h := range c.held.Values() {
 			if h.end.Key == key && !h.void {
 				h.void = true
+				c.noteEnd("lease left to end", h)
 				c.refuseWaiting(runs.NoWorker)
 				c.workerChanged()
 			}
@@ -108,12 +109,17 @@
 	}
 	for number, h := range c.held.All() {
 		if h.void {
+			c.noteEnd("lease has ended", h)
 			c.held.Delete(number)
 		}
 	}
 	c.workerChanged()
 }
 
+func (c *Core) noteEnd(event string, h *heldEnd) {
+	c.out.Notes = append(c.out.Notes, Note{Event: event, Key: h.end.Key, Reason: h.end.Reason, Age: c.now.Sub(h.listedAt)})
+}
+
 // outOfUse reports whether the worker may be given nothing at present.
 func (c *Core) outOfUse() bool { return c.silent() || c.lapsing() }
 
@@ -136,7 +142,7 @@
 			continue
 		}
 		h.askedAt = c.now
-		c.out.Notes = append(c.out.Notes, Note{Event: "end not stored", Key: h.end.Key, Reason: h.end.Reason})
+		c.noteEnd("end not stored", h)
 		for l := range c.links.Values() {
 			l.out.Unowned = append(l.out.Unowned, h.end)
 			l.dirty = true
--- a/service/batch/lane.go
+++ b/service/batch/lane.go
@@ -18,6 +18,8 @@
 	writes chan ledger.Write
 	// budget is the entry's share of the transactions of all entries together.
 	budget *rate.Limiter
+	// timeout is that of the next transaction.
+	timeout time.Duration
 }
 
 const (
@@ -26,17 +28,21 @@
 	// laneGroup is the number of writes in one transaction: the store takes a hundred
 	// conditions and changes together.
 	laneGroup = 45
-	// laneTimeout bounds one transaction, laneRetry is the pause after one that was
-	// refused or got no answer.
-	laneTimeout = 700 * time.Millisecond
-	laneRetry   = 60 * time.Millisecond
+	// The time that an answer may take follows the store: laneTimeouts times what the
+	// last one took, within bounds. A store that is slow for all would otherwise get
+	// each transaction several times and become slower yet.
+	laneTimeouts   = 4
+	laneTimeoutMin = 300 * time.Millisecond
+	laneTimeoutMax = 5 * time.Second
+	// laneRetry is the pause after a transaction that was refused or got no answer.
+	laneRetry = 60 * time.Millisecond
 	// urgentTries is how often a write that somebody waits for is tried again after
 	// the store has refused it.
 	urgentTries = 3
 )
 
 func newLane(e *Entry, budget *rate.Limiter) *lane {
-	return &lane{entry: e, writes: make(chan ledger.Write, laneRing), budget: budget}
+	return &lane{entry: e, writes: make(chan ledger.Write, laneRing), budget: budget, timeout: laneTimeoutMin}
 }
 
 // add hands a write over. One that finds no room is refused: it was never sent.
@@ -86,9 +92,7 @@
 func (l *lane) carryOut(ctx context.Context, group []ledger.Write) {
 	certain := true // nothing of the group may be under way
 	for tries := 1; len(group) > 0 && ctx.Err() == nil; tries++ {
-		calling, cancel := context.WithTimeout(ctx, laneTimeout)
-		outcomes, err := l.entry.deps.Store.WriteJobs(calling, group)
-		cancel()
+		outcomes, err := l.call(ctx, group)
 		if err != nil {
 			l.entry.log.Warn().Err(err).Int("writes", len(group)).Msg("entry: the fate of writes to the store is not known")
 			certain = false
@@ -103,6 +107,20 @@
 	}
 }
 
+// call makes one transaction and learns how long the store takes.
+func (l *lane) call(ctx context.Context, group []ledger.Write) ([]ledger.Outcome, error) {
+	calling, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	began := time.Now()
+	outcomes, err := l.entry.deps.Store.WriteJobs(calling, group)
+	if err != nil {
+		l.timeout = min(2*l.timeout, laneTimeoutMax)
+		return nil, err
+	}
+	l.timeout = min(max(laneTimeouts*time.Since(began), laneTimeoutMin), laneTimeoutMax)
+	return outcomes, nil
+}
+
 // settle tells what became of writes and returns those to be tried again: after a
 // conflict the others of the group, after a refusal all but the urgent ones that
 // were tried often enough.
