--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -114,9 +114,6 @@
 	for i := range msg.Ends {
 		c.endTold(a, msg.Ends[i])
 	}
-	for i := range msg.Claimed {
-		c.claimed(a, &msg.Claimed[i])
-	}
 	for _, end := range msg.Unowned {
 		c.endTold(a, end)
 	}
@@ -155,7 +152,6 @@
 		}
 	}
 	c.lost.Delete(w.Agent)
-	c.claimAll(a)
 }
 
 // closeFormer closes an older link of the same agent, which has gone silent.
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -19,8 +19,9 @@
 	Steps   []Step
 	// Progress is what the store has of its tasks.
 	Progress []TaskProgress
-	// SafeAt is when all runs that a former owner may have started are over. Until
-	// then agents are asked for them, and nothing new starts. Zero for a new job.
+	// SafeAt is when all runs that a former owner may have started are over, and it
+	// starts no more. Ends are believed from then on: before, the former owner may
+	// take a run for lost that has ended, and start its task again. Zero for a new job.
 	SafeAt time.Time
 }
 
@@ -31,7 +32,7 @@
 	Done  bool `cbor:"3,keyasint,omitempty"`
 	// Failures is the number of runs that failed.
 	Failures int `cbor:"4,keyasint,omitempty"`
-	// Run is the number of the newest run that is known to have ended.
+	// Run is the number of the newest run whose end counted.
 	Run uint32 `cbor:"5,keyasint,omitempty"`
 	// Checkpoint resumes the task.
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
@@ -168,11 +169,6 @@
 		}
 	}
 	c.note(Note{Event: "own", Job: j.name, Queue: j.queue.Name, Version: j.version, Wait: max(d.SafeAt.Sub(now), 0)})
-	if now.Before(d.SafeAt) {
-		for a := range c.agents.Values() {
-			c.claim(a, j)
-		}
-	}
 	if j.left == 0 {
 		c.ended(j, JobDone)
 		return
@@ -189,7 +185,8 @@
 	}
 	s := &j.steps[p.Step]
 	t := s.tasks[p.Index]
-	t.failures, t.run, t.checkpoint = p.Failures, p.Run, p.Checkpoint
+	t.failures, t.run, t.counted, t.checkpoint = p.Failures, p.Run, p.Run, p.Checkpoint
+	t.handled = map[uint32]bool{p.Run: true}
 	j.durable.state = JobRunning
 	if p.Done && t.state != taskDone {
 		t.state = taskDone
@@ -203,10 +200,10 @@
 	var list []TaskProgress
 	for i := range j.steps {
 		for n, t := range j.steps[i].tasks {
-			if t.run == 0 {
+			if t.counted == 0 {
 				continue
 			}
-			p := TaskProgress{Step: i, Index: n, Done: t.state == taskDone, Failures: t.failures, Run: t.run}
+			p := TaskProgress{Step: i, Index: n, Done: t.state == taskDone, Failures: t.failures, Run: t.counted}
 			if !p.Done {
 				p.Checkpoint = t.checkpoint
 			}
@@ -378,11 +375,11 @@
 			a.note(end.Key)
 		}
 		return
-	case unstarted && !d.disowned:
-		c.place(t, a, end.Key.Run)
 	case current:
-	case d.disowned:
+	case d.disowned || c.now.Before(d.safeAt):
 		return
+	case unstarted:
+		c.place(t, a, end.Key.Run)
 	case end.How == runs.Done || end.How == runs.Failed:
 		a.out.Void = append(a.out.Void, end.Key)
 		a.dirty = true
@@ -412,6 +409,7 @@
 		t.handled = make(map[uint32]bool)
 	}
 	t.handled[end.Key.Run] = true
+	t.counted = max(t.counted, end.Key.Run)
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
@@ -435,55 +433,24 @@
 	a.runs++
 }
 
-// claim asks an agent for all that it has of a job.
-func (c *Core) claim(a *agent, j *job) {
-	if !a.greeted {
-		return
-	}
-	claim := runs.Claim{Job: j.name}
-	for i := range j.steps {
-		claim.Steps = append(claim.Steps, runs.ClaimStep{Need: j.steps[i].Need, Estimate: j.steps[i].estimate})
-	}
-	a.out.Claims = append(a.out.Claims, claim)
-	a.dirty = true
-}
-
-// claimAll claims from an agent that is back the jobs that are not safe yet.
-func (c *Core) claimAll(a *agent) {
-	for j := range c.jobs.Values() {
-		if j.durable != nil && !j.ended && c.now.Before(j.durable.safeAt) {
-			c.claim(a, j)
-		}
-	}
-}
-
-// claimed takes what an agent has of a job.
-func (c *Core) claimed(a *agent, answer *runs.Claimed) {
-	for _, key := range answer.Runs {
-		t := c.byTask[key.Task]
-		switch {
-		case t == nil || t.job.durable == nil || t.job.ended, t.state == taskDone, t.state == taskPlaced && t.run >= key.Run:
-			a.out.Stops = append(a.out.Stops, key)
-			a.dirty = true
-		case t.state == taskPlaced:
-			c.stop(t)
-			c.place(t, a, key.Run)
-		default:
-			c.place(t, a, key.Run)
-			c.note(Note{Event: "claimed", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Key: key, Worker: a.worker.ID})
-		}
-	}
-	for _, end := range answer.Ends {
-		c.endTold(a, end)
-	}
-}
-
 // mayStart reports whether tasks of a job may be started now.
 func (c *Core) mayStart(j *job) bool {
 	d := j.durable
-	return d == nil || c.now.Before(c.ownedUntil) && !c.now.Before(d.safeAt)
+	switch {
+	case d == nil:
+		return true
+	case !c.now.Before(c.ownedUntil):
+		return false
+	case d.safeAt.IsZero():
+		return true
+	}
+	return c.now.Sub(d.safeAt) >= endsSettle
 }
 
+// endsSettle is the time that agents are given to tell the ends of a job that was
+// taken over; they ask about them every 0.5 s.
+const endsSettle = 600 * time.Millisecond
+
 // placeDurable sends those tasks of a job out that will soon have room. It reports
 // whether none is left.
 func (c *Core) placeDurable(j *job) bool {
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -75,7 +75,8 @@
 	checkpoint string
 	// taken tasks had another owner, whose newest run's number is not known.
 	taken bool
-	// handled are runs whose kept ends were taken.
+	// counted is the newest of the runs whose kept ends were taken, handled all of them.
+	counted uint32
 	handled map[uint32]bool
 }
 
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -97,8 +97,6 @@
 	queue  waiting
 	// pendingOwned are lists of owned runs that wait until the worker was looked at.
 	pendingOwned ordered.Map[LinkID, []runs.Owned]
-	// pendingClaims wait likewise.
-	pendingClaims ordered.Map[LinkID, []runs.Claim]
 	// held are ends that the worker must go on listing, by their number.
 	held ordered.Map[int64, *heldEnd]
 	// lookedAt is when the last look was made.
@@ -176,7 +174,6 @@
 	c.now = now
 	c.links.Delete(id)
 	c.pendingOwned.Delete(id)
-	c.pendingClaims.Delete(id)
 }
 
 // Receive handles a message of an entry.
@@ -191,10 +188,6 @@
 		c.pendingOwned.Put(id, msg.Owned)
 		c.reconcile()
 	}
-	if len(msg.Claims) > 0 {
-		c.pendingClaims.Put(id, append(c.pendingClaims.Get(id), msg.Claims...))
-		c.answerClaims()
-	}
 	c.noted(msg.Noted)
 	c.void(msg.Void)
 	for i := range msg.Starts {
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -275,7 +275,6 @@
 		c.worker.syncedAt = now
 		c.workerChanged()
 		c.reconcile()
-		c.answerClaims()
 	}
 }
 
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -260,9 +260,12 @@
 
 // reconcile answers entries what became of the runs that they believe to be here.
 func (c *Core) reconcile() {
-	if !c.knowsRuns() {
+	if c.worker.known && !c.worker.synced {
 		return
 	}
+	if !c.worker.known && len(c.worker.former) == 0 {
+		return // a new process that has not heard of its worker cannot know
+	}
 	for id, owned := range c.pendingOwned.All() {
 		c.pendingOwned.Delete(id)
 		for _, o := range owned {
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -25,8 +25,8 @@
 
 // Durable jobs. The end of a run of a durable job is kept by the worker until its
 // agent takes note of it, which the agent does only once the entry has stored the
-// end (Noted). An entry that takes a job over claims it at every agent: the agent
-// hands over the runs it has and the ends that are not stored.
+// end (Noted). Agents ask all entries about ends that are not stored for a while, so
+// that an entry which took the job over hears of them.
 
 // Key names one run of a task.
 type Key struct {
@@ -91,29 +91,6 @@
 	Durable  bool          `cbor:"4,keyasint,omitempty"`
 }
 
-// Claim takes a durable job over at an agent.
-type Claim struct {
-	Job string `cbor:"1,keyasint"`
-	// Steps tell what a task of each step needs, for runs of which the agent knows
-	// only the name.
-	Steps []ClaimStep `cbor:"2,keyasint"`
-}
-
-// ClaimStep is a step of a claimed job.
-type ClaimStep struct {
-	Need     room.Room     `cbor:"1,keyasint"`
-	Estimate time.Duration `cbor:"2,keyasint"`
-}
-
-// Claimed answers a Claim with all that the agent has of the job. The runs belong
-// to the claiming entry from then on.
-type Claimed struct {
-	Job  string `cbor:"1,keyasint"`
-	Runs []Key  `cbor:"2,keyasint,omitempty"`
-	// Ends are those that no entry has stored yet.
-	Ends []End `cbor:"3,keyasint,omitempty"`
-}
-
 // How tells how a run ended.
 type How uint8
 
@@ -260,8 +237,7 @@
 	// Clock is the agent's clock at the time of sending, in nanoseconds.
 	Clock    int64      `cbor:"4,keyasint"`
 	Progress []Progress `cbor:"5,keyasint,omitempty"`
-	Claimed  []Claimed  `cbor:"6,keyasint,omitempty"`
-	// Unowned are ends that are kept and that no linked entry owns. An entry answers
+	// Unowned are ends that are kept and were not stored for a while. An entry answers
 	// for those of its jobs, and of jobs that are not durable or are over.
 	Unowned []End `cbor:"7,keyasint,omitempty"`
 }
@@ -281,7 +257,6 @@
 	Clock int64 `cbor:"5,keyasint,omitempty"`
 	// Entries are all entries known to be alive.
 	Entries []Entry `cbor:"6,keyasint,omitempty"`
-	Claims  []Claim `cbor:"8,keyasint,omitempty"`
 	// Noted are runs whose ends are stored.
 	Noted []Key `cbor:"9,keyasint,omitempty"`
 	// Void are runs whose ends came too late: their tasks were started again when
