--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -20,8 +20,9 @@
 	// Progress is what the store has of its tasks.
 	Progress []TaskProgress
 	// SafeAt is when all runs that a former owner may have started are over, and it
-	// starts no more. Ends are believed from then on: before, the former owner may
-	// take a run for lost that has ended, and start its task again. Zero for a new job.
+	// starts no more. Ends are believed before: a former owner that takes a run for
+	// lost must have the store say so before it starts the task again, and it no longer
+	// can. Zero for a new job.
 	SafeAt time.Time
 }
 
@@ -34,6 +35,9 @@
 	Failures int `cbor:"4,keyasint,omitempty"`
 	// Run is the number of the newest run whose end counted.
 	Run uint32 `cbor:"5,keyasint,omitempty"`
+	// Abandoned is the newest run that was lost from sight: it does not count, however
+	// it may have ended.
+	Abandoned uint32 `cbor:"7,keyasint,omitempty"`
 	// Checkpoint resumes the task.
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
 }
@@ -186,7 +190,10 @@
 	s := &j.steps[p.Step]
 	t := s.tasks[p.Index]
 	t.failures, t.run, t.counted, t.checkpoint = p.Failures, p.Run, p.Run, p.Checkpoint
-	t.handled = map[uint32]bool{p.Run: true}
+	t.abandoned = p.Abandoned
+	if p.Run > 0 {
+		t.handled = map[uint32]bool{p.Run: true}
+	}
 	j.durable.state = JobRunning
 	if p.Done && t.state != taskDone {
 		t.state = taskDone
@@ -200,10 +207,12 @@
 	var list []TaskProgress
 	for i := range j.steps {
 		for n, t := range j.steps[i].tasks {
-			if t.counted == 0 {
+			if t.counted == 0 && t.abandoned == 0 {
 				continue
 			}
-			p := TaskProgress{Step: i, Index: n, Done: t.state == taskDone, Failures: t.failures, Run: t.counted}
+			p := TaskProgress{
+				Step: i, Index: n, Done: t.state == taskDone, Failures: t.failures, Run: t.counted, Abandoned: t.abandoned,
+			}
 			if !p.Done {
 				p.Checkpoint = t.checkpoint
 			}
@@ -305,6 +314,9 @@
 		return
 	}
 	j.durable.stored = max(j.durable.stored, seq)
+	if !j.ended {
+		c.placeJob(j) // tasks may have waited for it
+	}
 	if j.durable.state.Ended() && j.durable.stored == j.durable.seq {
 		j.durable.forgetAt = now.Add(retainEnded)
 	}
@@ -368,7 +380,7 @@
 	current := t.state == taskPlaced && t.run == end.Key.Run
 	// unstarted tasks have no later run: the end is news of a run that was lost
 	// from sight, or that a former owner started.
-	unstarted := t.state == taskWaiting && end.Key.Run >= t.run && !t.handled[end.Key.Run]
+	unstarted := t.state == taskWaiting && end.Key.Run >= t.run && end.Key.Run > t.abandoned
 	switch {
 	case t.handled[end.Key.Run]:
 		if !d.isDue(end.Key) && !d.disowned {
@@ -376,7 +388,7 @@
 		}
 		return
 	case current:
-	case d.disowned || c.now.Before(d.safeAt):
+	case d.disowned:
 		return
 	case unstarted:
 		c.place(t, a, end.Key.Run)
@@ -403,6 +415,18 @@
 	c.changed(t.job, recordEvery)
 }
 
+// abandon has the store say that a run which was lost from sight does not count.
+// The task waits for that: should this entry lose the job now, the next one would
+// otherwise believe the run's end beside the start that follows here.
+func (c *Core) abandon(t *task, run uint32) {
+	t.abandoned = max(t.abandoned, run)
+	t.blockedBy = t.job.durable.seq + 1 // the next record
+	c.changed(t.job, 0)
+}
+
+// blocked reports whether a task waits for a record to be stored.
+func (t *task) blocked() bool { return t.job.durable != nil && t.blockedBy > t.job.durable.stored }
+
 // handle remembers that the end of a run was taken.
 func (t *task) handle(end runs.End) {
 	if t.handled == nil {
@@ -436,21 +460,9 @@
 // mayStart reports whether tasks of a job may be started now.
 func (c *Core) mayStart(j *job) bool {
 	d := j.durable
-	switch {
-	case d == nil:
-		return true
-	case !c.now.Before(c.ownedUntil):
-		return false
-	case d.safeAt.IsZero():
-		return true
-	}
-	return c.now.Sub(d.safeAt) >= endsSettle
+	return d == nil || c.now.Before(c.ownedUntil) && !c.now.Before(d.safeAt)
 }
 
-// endsSettle is the time that agents are given to tell the ends of a job that was
-// taken over; they ask about them every 0.5 s.
-const endsSettle = 600 * time.Millisecond
-
 // placeDurable sends those tasks of a job out that will soon have room. It reports
 // whether none is left.
 func (c *Core) placeDurable(j *job) bool {
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -77,7 +77,11 @@
 	taken bool
 	// counted is the newest of the runs whose kept ends were taken, handled all of them.
 	counted uint32
-	handled map[uint32]bool
+	// abandoned is the newest run that was lost from sight, blockedBy the record that
+	// must be stored before the task starts again.
+	abandoned uint32
+	blockedBy uint64
+	handled   map[uint32]bool
 }
 
 type taskState uint8
@@ -355,6 +359,9 @@
 		c.taskDone(t, end)
 	} else {
 		t.state = taskWaiting
+		if j.durable != nil && !end.Held && end.How != runs.Refused && !j.ended {
+			c.abandon(t, end.Key.Run)
+		}
 		c.ranBadly(t, worker, end)
 	}
 	if j.ended {
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			if t.state != taskWaiting {
+			if t.state != taskWaiting || t.blocked() {
 				continue
 			}
 			c.planTask(&p, t, candidates, trials)
