Unknown jobs are settled once for all their tasks; a cut listing says nothing of missing runs

Cause: after a restart agents ask about ends of former runs. Ruled out: load (without processor time charged it shows as well).

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -328,11 +328,7 @@
 		c.doubts[name] = c.now
 		return false
 	}
-	if !c.loaded || !c.confirmedAt.After(asked) {
-		return false
-	}
-	delete(c.doubts, name)
-	return true
+	return c.loaded && c.confirmedAt.After(asked)
 }
 
 func (c *Core) answer(id RequestID, kind errkind.Kind) {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -220,6 +220,9 @@
 	c.Learn(after(300), nil, after(250))
 	noted, _ = c.Settle(after(310), end)
 	is.True(noted)
+	end.Key.Task = "j.0.0.1" // what was found holds for all tasks of the job
+	noted, _ = c.Settle(after(320), end)
+	is.True(noted)
 }
 
 func TestEndOfAnEndedJobIsVoidUnlessItCounted(t *testing.T) {
--- a/core/runner/durable_test.go
+++ b/core/runner/durable_test.go
@@ -54,6 +54,16 @@
 	r.is.Equal(len(out.Sends[0].Msg.Unowned), 1)
 }
 
+func TestRunMissingInACutListingMayHaveEnded(t *testing.T) {
+	r := newRig(t)
+	out := r.send(start, "t1")
+	r.Ordered(after(1), out.Orders[0], Answer{Verdict: Accepted, Clock: 5001})
+	r.lookAt(after(50), Listing{Cut: true})
+	r.is.Equal(len(ends(r.Flush(after(50)))), 0)
+	r.lookAt(after(60), Listing{})
+	r.is.Equal(ends(r.Flush(after(60)))[0].How, runs.Gone)
+}
+
 func TestVoidEndIsForgottenOnceTheLeaseHasEnded(t *testing.T) {
 	r := newRig(t)
 	r.endDurable("j.0.0.0", runs.Done)
--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -137,6 +137,9 @@
 // askAboutHeld asks all entries about ends that were not stored for a while. The
 // owner of the job answers, or any entry if the job is not durable or has ended.
 func (c *Core) askAboutHeld() {
+	if c.links.Len() == 0 {
+		return
+	}
 	for h := range c.held.Values() {
 		if h.void || c.now.Sub(h.askedAt) < askAgain {
 			continue
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -232,6 +232,9 @@
 type Listing struct {
 	Running []Running
 	Ended   []Ended
+	// Cut is true if there are further ends, which are listed once these were taken
+	// note of.
+	Cut bool
 }
 
 // Looked handles the answer to a look.
@@ -269,7 +272,9 @@
 	}
 	c.takeEnds(listing.Ended)
 	c.takeRunning(listing.Running)
-	c.settle(look, listing.Running)
+	if !listing.Cut { // what is not listed may have ended
+		c.settle(look, listing.Running)
+	}
 	if !c.worker.synced {
 		c.worker.synced = true
 		c.worker.syncedAt = now
--- a/core/schedule/worker_test.go
+++ b/core/schedule/worker_test.go
@@ -207,6 +207,7 @@
 		}
 		listing.Running = append(listing.Running, runner.Running{Key: runs.Key{Task: task, Run: r.run}, Percent: min(percent, 99)})
 	}
+	listing.Cut = len(k.ended) >= listedAtOnce
 	listing.Ended = append(listing.Ended, k.ended[:min(len(k.ended), listedAtOnce)]...)
 	p.answer(runner.Answer{Verdict: runner.Accepted, Clock: k.clock()}, listing)
 }
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -48,11 +48,10 @@
 	// followPause is the pause after a look that showed something: it bounds the
 	// calls to the store, and how old a job's state may be at other entries.
 	followPause = 80 * time.Millisecond
-	// followOpen is how long a look waits while this entry has open jobs, so that its
-	// ownership is confirmed often enough; followIdle otherwise: agents' questions
-	// about jobs that are not known here wait for the next look.
-	followOpen = time.Second
-	followIdle = 2 * time.Second
+	// followWait is how long a look waits for changes. Each one confirms the ownership
+	// of this entry's jobs, and agents' questions about jobs that are not known here
+	// wait for the next one.
+	followWait = time.Second
 	// freshness is how new the known jobs must be to say that there is no such job.
 	freshness = 2 * time.Second
 )
@@ -68,10 +67,9 @@
 	// budget is this entry's share of the store's transactions.
 	budget *rate.Limiter
 	total  float64
-	// open is true while this entry has open jobs, unconfirmed while some of them
-	// wait for a confirmation.
-	open, unconfirmed atomic.Bool
-	nextID            atomic.Uint64
+	// unconfirmed is true while jobs of this entry wait for a confirmation.
+	unconfirmed atomic.Bool
+	nextID      atomic.Uint64
 }
 
 func newKeeper(e *Entry, s ledger.Settings, writesPerSecond float64) *keeper {
@@ -142,10 +140,7 @@
 	if !loaded {
 		return k.entry.deps.Store.Jobs(ctx)
 	}
-	wait := followIdle
-	if k.open.Load() {
-		wait = followOpen
-	}
+	wait := followWait
 	if k.unconfirmed.Load() {
 		wait = 0
 	}
@@ -227,8 +222,6 @@
 		delete(k.watched, name)
 	}
 	k.logNotes(now, out.Notes)
-	open := k.ledger.Open()
-	k.open.Store(open > 0)
 	k.unconfirmed.Store(k.ledger.Unconfirmed())
 	return len(out.Disowns)+len(out.Cancelled)+len(out.Stored)+len(out.Owns) > 0
 }
