Ends that nobody can settle are given up before the worker's list is full

Cause: found by reading: while the store is away, ends of a former agent process are kept, since their jobs may be durable. At 44 ends a second and worker a list of 500 is full after 11 s; the worker then hides later ends, also those of awaited jobs, and its room seems taken until the store is back. Change: at 400 the worker's lease is left to end once, and all are forgotten: a second without work in place of the rest of the outage. TestOutageOfTheStoreDoesNotFillTheWorkersList failed without the call.

--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -226,6 +226,7 @@
 	c.expireWaiting()
 	c.stopOrphans()
 	c.retryStops()
+	c.boundHeld()
 	c.forgetVoid()
 	c.askAboutHeld()
 	c.forgetLeases()
--- a/core/runner/durable_test.go
+++ b/core/runner/durable_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -54,6 +55,28 @@
 	r.is.Equal(len(out.Sends[0].Msg.Unowned), 1)
 }
 
+// TestOutageOfTheStoreDoesNotFillTheWorkersList: ends that nobody can settle are
+// given up before the worker hides later ones.
+func TestOutageOfTheStoreDoesNotFillTheWorkersList(t *testing.T) {
+	r := newRig(t)
+	var listing Listing
+	for n := range heldLimit {
+		listing.Ended = append(listing.Ended, Ended{Number: int64(n + 1), Key: key(fmt.Sprintf("j%d.0.0.0", n)), How: runs.Done})
+	}
+	r.endDurable("j.0.0.0", runs.Done)
+	r.sendDurable(after(15), "k.0.0.0") // the worker is looked at while something runs
+	r.lookAt(after(20), listing)
+	for ms := 40; ms < 2000; ms += 20 {
+		r.beat(after(ms))
+		r.Tick(after(ms))
+		if look, ok := r.NextLook(after(ms)); ok {
+			r.Looked(after(ms), look, Answer{Verdict: Accepted, Clock: 5000 + int64(ms)}, Listing{})
+		}
+	}
+	r.is.Equal(r.held.Len(), 0)
+	r.is.Equal(r.outOfUse(), false)
+}
+
 func TestRunMissingInACutListingMayHaveEnded(t *testing.T) {
 	r := newRig(t)
 	out := r.send(start, "t1")
--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -82,16 +82,37 @@
 func (c *Core) void(keys []runs.Key) {
 	for _, key := range keys {
 		for h := range c.held.Values() {
-			if h.end.Key == key && !h.void {
-				h.void = true
-				c.noteEnd("lease left to end", h)
-				c.refuseWaiting(runs.NoWorker)
-				c.workerChanged()
+			if h.end.Key == key {
+				c.voidEnd(h)
 			}
 		}
 	}
 }
 
+func (c *Core) voidEnd(h *heldEnd) {
+	if h.void {
+		return
+	}
+	h.void = true
+	c.noteEnd("lease left to end", h)
+	c.refuseWaiting(runs.NoWorker)
+	c.workerChanged()
+}
+
+// heldLimit bounds the ends that are kept. A worker lists 500 and hides those after
+// them, so that its room would seem taken for as long as an outage of the store lasts.
+// Instead its lease is left to end once, which takes a second, and all are forgotten.
+const heldLimit = 400
+
+func (c *Core) boundHeld() {
+	if c.held.Len() < heldLimit {
+		return
+	}
+	for h := range c.held.Values() {
+		c.voidEnd(h)
+	}
+}
+
 // lapsing reports whether the worker's lease is left to end.
 func (c *Core) lapsing() bool {
 	for h := range c.held.Values() {
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -325,6 +325,7 @@
 	telemetry.Gauge("jobs", e.deps.Metrics, int64(e.core.Jobs()))
 	telemetry.Gauge("durable.open", e.deps.Metrics, int64(e.keeper.ledger.Open()))
 	telemetry.Gauge("workers", e.deps.Metrics, e.workers.Load())
+	telemetry.Gauge("ticks", e.deps.Metrics, e.ticks.Load())
 	telemetry.Gauge("links", e.deps.Metrics, int64(len(e.links)))
 	telemetry.Gauge("config.version", e.deps.Metrics, int64(e.configVersion()))
 	telemetry.Gauge("logs.dropped", e.deps.Metrics, e.deps.Logs.Dropped())
