--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -75,13 +75,13 @@
 	checkpoint string
 	// taken tasks had another owner, whose newest run's number is not known.
 	taken bool
-	// counted is the newest of the runs whose kept ends were taken, handled all of them.
+	// handled are the runs whose kept ends were taken, counted the newest of them.
+	handled map[uint32]bool
 	counted uint32
 	// abandoned is the newest run that was lost from sight, blockedBy the record that
 	// must be stored before the task starts again.
 	abandoned uint32
 	blockedBy uint64
-	handled   map[uint32]bool
 }
 
 type taskState uint8
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -157,9 +157,6 @@
 	return out
 }
 
-// Loaded reports whether all rows were read.
-func (c *Core) Loaded() bool { return c.loaded }
-
 // Open returns the number of jobs of this entry that have not ended.
 func (c *Core) Open() int {
 	n := 0
--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -10,8 +10,7 @@
 // that it is stored. Were the worker told to forget it before, a job whose entry
 // dies now would run the task again although it is done.
 type heldEnd struct {
-	number int64
-	end    runs.End
+	end runs.End
 	// owner is the entry that the end was told to; 0 if none is known.
 	owner uint64
 	// listedAt is when the worker listed it first.
@@ -58,7 +57,7 @@
 // hold keeps an end until an entry has stored it.
 func (c *Core) hold(number int64, owner uint64, end runs.End) {
 	end.Held = true
-	h := &heldEnd{number: number, end: end, owner: owner, listedAt: c.now}
+	h := &heldEnd{end: end, owner: owner, listedAt: c.now}
 	if owner != 0 {
 		h.askedAt = c.now // it is told to its owner
 	}
