The world of the schedules becomes lab/emulator; mechanisms of policy have names and off switches

Cause: the fault schedules kept their world in test files of core/schedule, so no tool could measure with it how well is decided. Checks stay as they were. core/policy names ten mechanisms of entries and three of agents; the zero Policy, which production uses, has all.

Conclusion: one world for tests and measurement.

--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/catalog"
+	"peridotpick.example/core/policy"
 )
 
 // refusal is a truthful "not run".
@@ -28,18 +30,34 @@
 // judge returns why a job cannot be taken, or nil.
 func (c *Core) judge(j *job, p plan) *refusal {
 	slack := p.slack - c.settings.Overhead
-	likely := c.waits.likely(p.delay)
+	likely := c.likelyWait(p.delay)
 	switch {
 	case len(p.places) == 0 && p.missing > 0:
 		return &refusal{errkind.Overloaded, "no worker", retrySoon}
 	case likely > slack:
 		return &refusal{errkind.Overloaded, "no room in time", retrySoon}
-	case p.delay > 0 && float64(likely) > c.yields.factor(c.now, j.queue)*float64(slack):
+	case p.delay > 0 && float64(likely) > c.yieldFactor(j.queue)*float64(slack):
 		return &refusal{errkind.Overloaded, "yields to urgent jobs", retrySoon}
 	}
 	return nil
 }
 
+// likelyWait returns what a predicted wait will not exceed in most cases.
+func (c *Core) likelyWait(predicted time.Duration) time.Duration {
+	if !c.settings.Policy.Has(policy.LearnedWaits) {
+		return predicted
+	}
+	return c.waits.likely(predicted)
+}
+
+// yieldFactor returns the part of its slack that a job of a queue may use.
+func (c *Core) yieldFactor(q *catalog.Queue) float64 {
+	if !c.settings.Policy.Has(policy.Yield) {
+		return 1
+	}
+	return c.yields.factor(c.now, q)
+}
+
 func (c *Core) refuse(id RequestID, r refusal) {
 	c.out.Answers = append(c.out.Answers, Answer{Request: id, Kind: r.kind, RetryAfter: r.retryAfter})
 }
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotpick.example/common/room"
+	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
 
@@ -48,11 +49,15 @@
 	return a.greeted && a.worker.ID != "" && !a.worker.Draining && now.Sub(a.heardAt) < silentAfter
 }
 
-// free returns the room that is probably left for a run with some slack: without
-// the runs at the worker, those on their way, and those that wait and go first.
-func (a *agent) free(slack time.Duration) room.Room {
+// free returns the room that is probably left at an agent's worker for a run with
+// some slack: without the runs at the worker, those on their way, and those that
+// wait and go first.
+func (c *Core) free(a *agent, slack time.Duration) room.Room {
 	left := a.load.Free
-	band := runs.SlackBand(slack)
+	band := runs.SlackBands
+	if c.settings.Policy.Has(policy.SlackBands) {
+		band = runs.SlackBand(slack)
+	}
 	for i, cpu := range a.load.Waiting {
 		if i <= band {
 			left.CPU -= cpu
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -29,6 +29,7 @@
 	"peridotpick.example/common/ordered"
 	"peridotpick.example/common/room"
 	"peridotpick.example/core/catalog"
+	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
 
@@ -58,6 +59,8 @@
 	CrossCost time.Duration
 	// Overhead is the part of the objective that messages and the worker's start take.
 	Overhead time.Duration
+	// Policy says which mechanisms are in force; production runs with all.
+	Policy policy.Policy
 }
 
 // RequestID names one awaited answer.
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -6,6 +6,7 @@
 
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/core/catalog"
+	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
 
@@ -153,7 +154,10 @@
 	for i := range r.Steps {
 		s := &j.steps[i]
 		s.Step = r.Steps[i]
-		s.estimate = c.learn.expect(j.queue.Name, s.Estimate)
+		s.estimate = s.Estimate
+		if c.settings.Policy.Has(policy.LearnedRunTimes) {
+			s.estimate = c.learn.expect(j.queue.Name, s.Estimate)
+		}
 		s.left = s.Count
 		j.left += s.Count
 		for n := range s.Count {
--- a/core/batch/move.go
+++ b/core/batch/move.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"time"
+
+	"peridotpick.example/core/policy"
+)
 
 // moveSlow stops runs that would end sooner elsewhere: those that wait while
 // another worker has room, and those on a slow worker, whose work begins anew.
@@ -23,12 +27,15 @@
 		return
 	}
 	waits := t.waitsAt == from.heard
+	if !c.mayMove(waits) {
+		return
+	}
 	if !waits && !t.slow || c.now.Sub(t.withdrawnAt) < withdrawAgain {
 		return
 	}
 	here, slack := t.remaining, t.job.slackLeft(c.now)
 	if waits {
-		here = c.waitFor(from, from.free(slack), t.step.Need) + c.runTime(from, t)
+		here = c.waitFor(from, c.free(from, slack), t.step.Need) + c.runTime(from, t)
 	} else if c.relativeSlowness(from) < moveFrom {
 		return // the run is long by its own work
 	}
@@ -49,6 +56,14 @@
 	from.dirty = true
 }
 
+// mayMove reports whether runs that wait, or that are slow, are moved at all.
+func (c *Core) mayMove(waits bool) bool {
+	if waits {
+		return c.settings.Policy.Has(policy.Withdrawing)
+	}
+	return c.settings.Policy.Has(policy.Restarting)
+}
+
 const (
 	// moveFrom is the slowness of a worker, against the typical one, from which
 	// its runs are moved: below it a long run is long by its own work.
@@ -73,7 +88,7 @@
 		if a == from || !c.allowed(t, a, none) {
 			continue
 		}
-		wait := c.waitFor(a, a.free(t.job.slackLeft(c.now)), t.step.Need)
+		wait := c.waitFor(a, c.free(a, t.job.slackLeft(c.now)), t.step.Need)
 		if atOnce && wait > 0 {
 			continue
 		}
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotpick.example/common/room"
+	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
 
@@ -100,7 +101,7 @@
 		if !c.allowed(t, a, tr) {
 			continue
 		}
-		free := a.free(p.slack).Minus(tr.used)
+		free := c.free(a, p.slack).Minus(tr.used)
 		wait := c.waitFor(a, free, t.step.Need)
 		run := c.runTime(a, t)
 		cost := c.cost(a, t, wait, run)
@@ -126,6 +127,9 @@
 // half. Otherwise all entries would choose the same worker until they hear of
 // each other's choice.
 func (c *Core) spread(cpu int) int {
+	if !c.settings.Policy.Has(policy.Spread) {
+		return cpu
+	}
 	return cpu * (spreadParts + c.rand.IntN(spreadParts)) / spreadParts
 }
 
@@ -196,14 +200,17 @@
 // cost is what the choice of a worker is judged by: the expected time to the
 // end. Workers on which the task has failed before come last.
 func (c *Core) cost(a *agent, t *task, wait, run time.Duration) time.Duration {
-	cost := c.waits.likely(wait) + run
+	cost := c.likelyWait(wait) + run
 	if a.worker.DataCentre != c.settings.DataCentre {
 		cost += c.settings.CrossCost
 	}
 	if t.failedOn[a.worker.ID] > 0 {
 		cost += failedBeforeCost
 	}
-	return cost + time.Duration(t.refusedBy[a.worker.ID])*refusedBeforeCost
+	if c.settings.Policy.Has(policy.RefusedBefore) {
+		cost += time.Duration(t.refusedBy[a.worker.ID]) * refusedBeforeCost
+	}
+	return cost
 }
 
 // failedBeforeCost keeps a task away from a worker on which it failed, unless
@@ -223,7 +230,7 @@
 // relativeSlowness compares a worker's run times with those of all.
 func (c *Core) relativeSlowness(a *agent) float64 {
 	slowness := float64(a.load.Slowness) / c.typicalSlowness(a.worker.Service)
-	if slowness < slowFrom {
+	if slowness < slowFrom || !c.settings.Policy.Has(policy.Pace) {
 		return 1
 	}
 	return slowness
@@ -271,7 +278,7 @@
 
 // shunned reports whether an agent's worker is unsound and not due for a try.
 func (c *Core) shunned(a *agent, tr *trial) bool {
-	if !c.unsound(a) {
+	if !c.unsound(a) || !c.settings.Policy.Has(policy.Probing) {
 		return false
 	}
 	return c.now.Sub(a.probedAt) < time.Duration(c.entries)*probeEvery || tr.used != (room.Room{})
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -22,6 +22,7 @@
 
 	"peridotpick.example/common/ordered"
 	"peridotpick.example/common/room"
+	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
 
@@ -44,6 +45,8 @@
 	// LateFactor is how many times its estimate a run may take before its entry is
 	// told of its progress.
 	LateFactor float64
+	// Policy says which mechanisms are in force; production runs with all.
+	Policy policy.Policy
 }
 
 // LinkID names one link to an entry.
--- a/core/runner/pace.go
+++ b/core/runner/pace.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
 
@@ -66,6 +67,9 @@
 	c.pace.decay(c.now)
 	ran, estimated := c.pace.ran+pacePrior, c.pace.estimated+pacePrior
 	for r := range c.runs.Values() {
+		if !c.settings.Policy.Has(policy.Progress) {
+			break
+		}
 		if r.phase != phaseRunning || r.start.Estimate <= 0 || r.percentAt.Sub(r.confirmedAt) < minProgress {
 			continue
 		}
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotpick.example/common/room"
+	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
 
@@ -87,6 +88,10 @@
 		return
 	}
 	c.runs.Put(r.key, r)
+	if !c.settings.Policy.Has(policy.LeastSlack) {
+		c.queue = append(c.queue, r)
+		return
+	}
 	c.queue.add(r)
 }
 
@@ -118,6 +123,9 @@
 	for _, r := range c.queue {
 		if !left.Fits(r.need) {
 			still = append(still, r)
+			if !c.settings.Policy.Has(policy.Passing) {
+				left = room.Room{}
+			}
 			continue
 		}
 		left = left.Minus(r.need)
--- /dev/null
+++ b/lab/emulator/layout.go
@@ -0,0 +1,85 @@
+package emulator
+
+import (
+	"time"
+
+	"peridotpick.example/common/room"
+	"peridotpick.example/core/policy"
+)
+
+// layout is what a world is built from: instances, distances and times.
+type layout struct {
+	centres []centre
+	// capacity returns the room of the n-th worker.
+	capacity func(n int) room.Room
+	// rackSize is the number of neighbouring workers in a rack.
+	rackSize int
+	// resend is when a caller whose connection broke sends its job again.
+	resend time.Duration
+	// ownerLease is an entry's lease at an agent, workerLease the one agents ask of
+	// their worker, runsOver when a worker without its agent has ended its runs.
+	ownerLease, workerLease, runsOver time.Duration
+	// ownFor is how long a look at the store proves that durable jobs are owned,
+	// entrySilent the silence from which an entry counts as lost.
+	ownFor, entrySilent time.Duration
+	// within, across and caller are the shortest ways inside a data centre, between
+	// two, and from a caller; jitter is added to the first two at random.
+	within, across, caller, jitter time.Duration
+	// announceEvery bounds the time between announcements of a worker, lateShare
+	// is the share of those that are delayed by seconds.
+	announceEvery time.Duration
+	lateShare     float64
+	// lookWait is how long a look at the worker waits, crossCost what a border
+	// between data centres adds to the cost of a worker.
+	lookWait, crossCost time.Duration
+	remoteFactor        float64
+	// bootAgent and bootEntry are how long the processes take to start.
+	bootAgent, bootEntry time.Duration
+	policy               policy.Policy
+}
+
+// centre is one data centre of a layout.
+type centre struct {
+	name             string
+	entries, workers int
+}
+
+// Times that do not differ between layouts.
+const (
+	tick = 20 * time.Millisecond
+	step = 2 * time.Millisecond
+	// linkRetry is the pause before a link is opened again.
+	linkRetry   = 50 * time.Millisecond
+	ownerBeat   = 100 * time.Millisecond
+	idleBeat    = 500 * time.Millisecond
+	silentAfter = 1600 * time.Millisecond
+	stallLimit  = 350 * time.Millisecond
+	settling    = 100 * time.Millisecond
+	overhead    = 10 * time.Millisecond
+	adoptWithin = 250 * time.Millisecond
+	lateFactor  = 1.5
+	queueLimit  = 64
+)
+
+// oneWay returns the shortest way between two data centres.
+func (l *layout) oneWay(from, to string) time.Duration {
+	if from == to {
+		return l.within
+	}
+	return l.across
+}
+
+// Shares of the resend time that leases take, and what a worker's clock and its
+// stops need besides; as in production.
+const (
+	ownerShare = 0.30
+	clockSlack = 1.02
+	stopping   = 100 * time.Millisecond
+)
+
+// setLeases derives the leases from the resend time.
+func (l *layout) setLeases(longest time.Duration) {
+	l.ownerLease = time.Duration(ownerShare * float64(l.resend))
+	l.workerLease = min(time.Duration(float64(l.resend-l.ownerLease-stopping)/clockSlack), longest)
+	l.runsOver = time.Duration(float64(l.workerLease)*clockSlack) + stopping
+}
--- a/core/schedule/processes_test.go
+++ b/lab/emulator/processes.go
@@ -1,9 +1,10 @@
-package schedule
+package emulator
 
 import (
 	"time"
 
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/common/ordered"
 	"peridotpick.example/core/batch"
 	"peridotpick.example/core/ledger"
 	"peridotpick.example/core/runner"
@@ -49,7 +50,7 @@
 	core    *runner.Core
 	worker  *worker
 	looking bool
-	links   map[runner.LinkID]*simLink
+	links   ordered.Map[runner.LinkID, *simLink]
 	// known is what the registry remembers of the worker.
 	known runs.Worker
 }
@@ -72,14 +73,15 @@
 }
 
 func (a *agentProcess) start() {
+	l := a.w.layout
 	a.life++
 	a.dead = false
 	a.looking = false
-	a.links = make(map[runner.LinkID]*simLink)
+	a.links = ordered.Map[runner.LinkID, *simLink]{}
 	a.core = runner.New(runner.Settings{
-		Agent: a.worker.name, OwnerLease: ownerLease, WorkerLease: workerLease, LookWait: 100 * time.Millisecond,
-		AdoptWithin: 250 * time.Millisecond, QueueLimit: 64, Beat: 100 * time.Millisecond,
-		IdleBeat: 500 * time.Millisecond, LateFactor: 1.5,
+		Agent: a.worker.name, OwnerLease: l.ownerLease, WorkerLease: l.workerLease, LookWait: l.lookWait,
+		AdoptWithin: adoptWithin, QueueLimit: queueLimit, Beat: ownerBeat, IdleBeat: idleBeat, LateFactor: lateFactor,
+		Policy: l.policy,
 	})
 	a.ticks()
 	a.announce()
@@ -98,22 +100,30 @@
 }
 
 func (a *agentProcess) announce() {
-	a.deliver(time.Duration(a.w.rand.IntN(300))*time.Millisecond, func() {
-		if !a.worker.down {
-			info, clock := a.worker.info(), a.worker.clock()
-			late := time.Duration(0)
-			if a.w.rand.IntN(10) == 0 {
-				late = time.Duration(a.w.rand.IntN(3000)) * time.Millisecond
-			}
-			a.deliver(late, func() {
-				a.known = info
-				a.event(func() { a.core.Announced(a.w.now, info, clock) })
-			})
-		}
+	w := a.w
+	a.deliver(time.Duration(w.rand.Int64N(int64(w.layout.announceEvery))), func() {
+		a.announceOnce()
 		a.announce()
 	})
 }
 
+// announceOnce has the worker announce itself, which may be delayed.
+func (a *agentProcess) announceOnce() {
+	w := a.w
+	if a.worker.down {
+		return
+	}
+	info, clock := a.worker.info(), a.worker.clock()
+	late := time.Duration(0)
+	if w.rand.Float64() < w.layout.lateShare {
+		late = time.Duration(w.rand.IntN(3000)) * time.Millisecond
+	}
+	a.deliver(late, func() {
+		a.known = info
+		a.event(func() { a.core.Announced(w.now, info, clock) })
+	})
+}
+
 func (a *agentProcess) event(do func()) {
 	a.core.Tick(a.w.now)
 	do()
@@ -129,7 +139,7 @@
 		a.order(o)
 	}
 	for _, s := range out.Sends {
-		if l := a.links[s.Link]; l != nil {
+		if l := a.links.Get(s.Link); l != nil {
 			l.toEntry(s.Msg)
 		}
 	}
@@ -139,7 +149,7 @@
 // order sends an order to the worker. It may be lost, and carried out late.
 func (a *agentProcess) order(o runner.Order) {
 	w := a.w
-	need := w.needs[o.Key.Task]
+	need := w.needOf(o.Key)
 	delay := time.Duration(100+w.rand.IntN(900)) * time.Microsecond
 	if w.rand.Float64() < w.lostOrders {
 		if w.rand.IntN(3) > 0 {
@@ -203,56 +213,55 @@
 func (a *agentProcess) kill(pause time.Duration) {
 	a.dead = true
 	a.w.tell("%s agent killed", a.worker.name)
-	for _, l := range a.links {
+	for l := range a.links.Values() {
 		l.close()
 	}
 	a.w.after(pause, a.start)
 }
 
-// request is an attempt to hand a job in.
-type request struct {
-	id   batch.RequestID
-	job  string
-	done bool
-}
-
 // entryProcess is an entry with its shell.
 type entryProcess struct {
 	process
 	core    *batch.Core
 	address string
+	centre  string
 	self    runs.Entry
-	links   map[batch.LinkID]*simLink
-	open    map[batch.RequestID]*request
-	nextID  uint64
-	ledger  *ledger.Core
+	links   ordered.Map[batch.LinkID, *simLink]
+	open    ordered.Map[batch.RequestID, *request]
+	// peers is the number of entries that the core was told of.
+	peers  int
+	nextID uint64
+	ledger *ledger.Core
 	// asks are callers that wait for the answer about a durable job.
 	asks map[ledger.RequestID]func(errkind.Kind)
 	// cut entries reach neither the store nor other entries.
 	cut bool
 }
 
-func newEntryProcess(w *world, address string) *entryProcess {
-	e := &entryProcess{process: process{w: w}, address: address}
+func newEntryProcess(w *world, address, centre string) *entryProcess {
+	e := &entryProcess{process: process{w: w}, address: address, centre: centre}
 	e.start()
 	return e
 }
 
 func (e *entryProcess) start() {
+	l := e.w.layout
 	e.life++
 	e.dead = false
+	e.peers = 0
 	e.w.nextLife++
 	e.self = runs.Entry{Address: e.address, Incarnation: e.w.nextLife}
-	e.links = make(map[batch.LinkID]*simLink)
-	e.open = make(map[batch.RequestID]*request)
+	e.links = ordered.Map[batch.LinkID, *simLink]{}
+	e.open = ordered.Map[batch.RequestID, *request]{}
 	e.core = batch.New(batch.Settings{
-		DataCentre: "d", OwnerLease: ownerLease, WorkerLease: runsOver, Beat: 100 * time.Millisecond,
-		IdleBeat: 500 * time.Millisecond, SilentAfter: 1600 * time.Millisecond, StallLimit: 350 * time.Millisecond,
-		Settling: 100 * time.Millisecond, RemoteFactor: 1.5, CrossCost: time.Millisecond, Overhead: 10 * time.Millisecond,
+		Seed: e.w.nextLife, DataCentre: e.centre, OwnerLease: l.ownerLease, WorkerLease: l.runsOver, Beat: ownerBeat,
+		IdleBeat: idleBeat, SilentAfter: silentAfter, StallLimit: stallLimit, Settling: settling,
+		RemoteFactor: l.remoteFactor, CrossCost: l.crossCost, Overhead: overhead, Policy: l.policy,
 	})
 	e.asks = make(map[ledger.RequestID]func(errkind.Kind))
 	e.ledger = ledger.New(ledger.Settings{
-		Self: e.self, OwnFor: ownFor, RunsOver: ownerLease + runsOver, SilentAfter: entrySilent, KeepEnded: time.Hour, MaxOpen: 1000,
+		Self: e.self, OwnFor: l.ownFor, RunsOver: l.ownerLease + l.runsOver, SilentAfter: l.entrySilent,
+		KeepEnded: time.Hour, MaxOpen: 1000,
 	}, e.w.now)
 	e.ticks()
 	e.follow(0, true)
@@ -281,20 +290,18 @@
 		e.w.tell("%s %s %s %s/%d on %s %s %s", e.address, n.Event, n.Job, n.Key.Task, n.Key.Run, n.Worker, n.How, n.Reason)
 	}
 	for _, id := range out.Closes {
-		if l := e.links[id]; l != nil {
+		if l := e.links.Get(id); l != nil {
 			l.close()
 		}
 	}
 	for _, s := range out.Sends {
-		if l := e.links[s.Link]; l != nil {
+		if l := e.links.Get(s.Link); l != nil {
 			l.toAgent(s.Msg)
 		}
 	}
 	for _, a := range out.Answers {
-		if r := e.open[a.Request]; r != nil {
-			delete(e.open, a.Request)
-			r.done = true
-			e.w.took(r.job, a)
+		if r := e.open.Get(a.Request); r != nil {
+			e.w.answered(e, r, a)
 		}
 	}
 	return e.exchange(&out)
@@ -303,8 +310,10 @@
 func (e *entryProcess) kill(pause time.Duration) {
 	e.dead = true
 	e.w.tell("%s entry killed", e.address)
-	e.open = make(map[batch.RequestID]*request)
-	for _, l := range e.links {
+	for r := range e.open.Values() {
+		r.lost()
+	}
+	for l := range e.links.Values() {
 		l.close()
 	}
 	e.w.after(pause, e.start)
--- a/core/schedule/schedule_test.go
+++ b/lab/emulator/schedule_test.go
@@ -1,4 +1,4 @@
-package schedule
+package emulator
 
 import (
 	"flag"
@@ -7,14 +7,57 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"peridotpick.example/common/room"
+	"peridotpick.example/core/batch"
+	"peridotpick.example/core/catalog"
+	"peridotpick.example/wire/runs"
 )
 
+// testLayout is a small deployment with much disorder in its messages.
+func testLayout() *layout {
+	return &layout{
+		centres:  []centre{{name: "d", entries: 2, workers: 4}},
+		capacity: func(int) room.Room { return room.Room{CPU: 8000, Memory: 8000} }, rackSize: 4,
+		resend: 1300 * time.Millisecond, ownerLease: 390 * time.Millisecond, workerLease: 780 * time.Millisecond,
+		runsOver: 900 * time.Millisecond, ownFor: 2 * time.Second, entrySilent: 800 * time.Millisecond,
+		within: 300 * time.Microsecond, jitter: 1200 * time.Microsecond, caller: 3 * time.Millisecond,
+		announceEvery: 300 * time.Millisecond, lateShare: 0.1, lookWait: 100 * time.Millisecond,
+		crossCost: time.Millisecond, remoteFactor: 1.5,
+	}
+}
+
+// testPatience is how long callers of the schedules wait.
+const testPatience = 1500 * time.Millisecond
+
+// testJob returns a job of one step, whose work is drawn at each start.
+func testJob(w *world, name string, tasks, attempts int) *jobSpec {
+	need := room.Room{CPU: 1500 + w.rand.IntN(1500), Memory: 10}
+	return &jobSpec{
+		name: name, queue: testQueue, attempts: attempts, patience: testPatience,
+		steps: []batch.Step{{Count: tasks, Need: need, Estimate: 200 * time.Millisecond}},
+		run: func(runs.Key) (time.Duration, bool) {
+			return time.Duration(20+w.rand.IntN(400)) * time.Millisecond, w.rand.IntN(100) == 0
+		},
+		choose: func() *entryProcess { return w.entries[w.rand.IntN(len(w.entries))] },
+	}
+}
+
+// testDurable returns a durable job; its caller hands it in until it is accepted.
+func testDurable(w *world, name string, tasks int) *jobSpec {
+	j := testJob(w, name, tasks, 1000)
+	j.durable = true
+	return j
+}
+
 var (
 	seeds    = flag.Int("schedules", 150, "number of seeded schedules")
 	oneSeed  = flag.Uint64("seed", 0, "play only this seed")
 	duration = 12 * time.Second
 )
 
+var testQueue = &catalog.Queue{Name: "q", Service: service, MaxAttempts: 3, Stretch: 1.6, Target: 500 * time.Millisecond}
+
 // faults are what may happen in a schedule; each seed draws a few of them.
 var faults = map[string]func(w *world){
 	"agent killed": func(w *world) {
@@ -36,12 +79,12 @@
 		w.entries[w.rand.IntN(len(w.entries))].freeze(time.Duration(w.rand.IntN(3000)) * time.Millisecond)
 	},
 	"links reset": func(w *world) {
-		for _, l := range w.agents[w.rand.IntN(len(w.agents))].links {
+		for l := range w.agents[w.rand.IntN(len(w.agents))].links.Values() {
 			l.close()
 		}
 	},
 	"links silent": func(w *world) {
-		for _, l := range w.agents[w.rand.IntN(len(w.agents))].links {
+		for l := range w.agents[w.rand.IntN(len(w.agents))].links.Values() {
 			l.silent = true
 		}
 	},
@@ -50,16 +93,13 @@
 		if k.down {
 			return
 		}
-		k.down = true
-		for task := range k.running {
-			w.ranUntil(task, k)
-		}
+		k.crash()
 		w.after(time.Duration(w.rand.IntN(2000))*time.Millisecond, k.reborn)
 	},
 	"worker hangs": func(w *world) {
 		k := w.workers[w.rand.IntN(len(w.workers))]
-		k.hanging = true
-		w.after(2*time.Second, func() { k.hanging = false })
+		k.setPace(true, 0)
+		w.after(2*time.Second, func() { k.setPace(false, 0) })
 	},
 	"worker fails all": func(w *world) {
 		k := w.workers[w.rand.IntN(len(w.workers))]
@@ -80,12 +120,12 @@
 
 // play runs one schedule.
 func play(seed uint64) *world {
-	w := newWorld(seed)
+	w := newWorld(seed, testLayout())
 	w.story = *oneSeed != 0
 	for n := range 300 {
 		at := time.Duration(w.rand.Int64N(int64(duration - 3*time.Second)))
 		tasks := 1 + w.rand.IntN(5)
-		w.after(at, func() { w.submit(fmt.Sprintf("%016x", n), tasks, 3) })
+		w.after(at, func() { w.submit(testJob(w, fmt.Sprintf("%016x", n), tasks, 3)) })
 	}
 	for range 1 + w.rand.IntN(8) {
 		name := faultNames[w.rand.IntN(len(faultNames))]
@@ -103,14 +143,14 @@
 	done, starts := 0, 0
 	for seed := first; seed <= last; seed++ {
 		w := play(seed)
-		for _, b := range w.broken {
+		for _, b := range w.checks.broken {
 			t.Errorf("seed %d: %s", seed, b)
 		}
 		for _, line := range w.lines {
 			t.Log(line)
 		}
-		done += w.done
-		starts += w.starts
+		done += w.checks.done
+		starts += w.checks.starts
 	}
 	t.Logf("%d jobs done, %d starts", done, starts)
 }
@@ -118,11 +158,11 @@
 // TestCalm shows that the schedules serve work: without faults nearly all jobs end.
 func TestCalm(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(1)
+	w := newWorld(1, testLayout())
 	for n := range 100 {
-		w.after(time.Second+time.Duration(n)*50*time.Millisecond, func() { w.submit(fmt.Sprintf("%016x", n), 2, 1) })
+		w.after(time.Second+time.Duration(n)*50*time.Millisecond, func() { w.submit(testJob(w, fmt.Sprintf("%016x", n), 2, 1)) })
 	}
 	w.run(10 * time.Second)
-	is.Equal(len(w.broken), 0)
-	is.True(w.done >= 95)
+	is.Equal(len(w.checks.broken), 0)
+	is.True(w.checks.done >= 95)
 }
--- a/core/schedule/store_test.go
+++ b/lab/emulator/store.go
@@ -1,18 +1,15 @@
-package schedule
+package emulator
 
 import (
 	"time"
 
-	"peridotpick.example/common/errkind"
 	"peridotpick.example/core/batch"
 	"peridotpick.example/core/ledger"
 	"peridotpick.example/wire/runs"
 )
 
-// Times of durable jobs in the simulated deployment.
+// Times of the simulated store.
 const (
-	ownFor       = 2 * time.Second
-	entrySilent  = 800 * time.Millisecond
 	storeDelay   = 5 * time.Millisecond
 	storeTimeout = 300 * time.Millisecond
 	followEvery  = 80 * time.Millisecond
@@ -43,6 +40,7 @@
 		delete(s.rows, w.Job)
 	} else {
 		s.rows[w.Job] = changed
+		s.w.stored(changed)
 	}
 	return ledger.Outcome{Fate: ledger.Applied, Version: s.version}
 }
@@ -151,11 +149,11 @@
 	}
 	for _, o := range led.Owns {
 		e.core.Own(now, &batch.Durable{
-			Job: o.Job, Queue: testQueue, Spec: o.Row.Spec, Steps: o.Row.Steps, Progress: o.Row.Progress, SafeAt: o.SafeAt,
+			Job: o.Job, Queue: e.w.jobs[o.Job].queue, Spec: o.Row.Spec, Steps: o.Row.Steps, Progress: o.Row.Progress, SafeAt: o.SafeAt,
 		})
 	}
 	for _, name := range led.Ended {
-		e.w.shown(e, name)
+		e.w.checks.shown(e, name)
 	}
 	return len(led.Disowns)+len(led.Cancelled)+len(led.Stored)+len(led.Owns) > 0
 }
@@ -169,6 +167,10 @@
 		}
 	}
 	e.ledger.Peers(e.w.now, list)
+	if n := len(list) + 1; n != e.peers {
+		e.peers = n
+		e.core.Peers(n)
+	}
 	e.ledger.Tick(e.w.now)
 }
 
@@ -180,38 +182,15 @@
 	}
 }
 
-// accept hands a durable job in; without an answer it is sent again elsewhere.
-func (w *world) accept(job string, tasks int) {
-	e := w.entries[w.rand.IntN(len(w.entries))]
-	again := func() { w.after(resend, func() { w.accept(job, tasks) }) }
-	if e.dead {
-		again()
+// stored notes that a durable job has ended.
+func (w *world) stored(s ledger.Stored) {
+	j := w.jobs[s.Job]
+	if j == nil || !s.Row.State.Ended() {
 		return
 	}
-	e.nextID++
-	id := ledger.RequestID(e.nextID)
-	over := false
-	w.tell("caller hands %s in at %s", job, e.address)
-	e.asks[id] = func(kind errkind.Kind) {
-		if over {
-			return
-		}
-		over = true
-		if kind == errkind.OK {
-			w.accepted[job] = true
-		}
+	if s.Row.State == batch.JobDone {
+		w.ended(j, fateServed)
+		return
 	}
-	need := w.needOf(job, tasks)
-	e.deliver(3*time.Millisecond, func() {
-		e.ledger.Accept(w.now, id, job, &ledger.Row{Queue: "q", Steps: []batch.Step{
-			{Count: tasks, Need: need, Estimate: 200 * time.Millisecond},
-		}})
-		e.perform()
-	})
-	w.after(patience, func() {
-		if !over {
-			over = true
-			again()
-		}
-	})
+	w.ended(j, fateFailed)
 }
--- a/core/schedule/worker_test.go
+++ b/lab/emulator/worker.go
@@ -1,8 +1,10 @@
-package schedule
+package emulator
 
 import (
+	"fmt"
 	"time"
 
+	"peridotpick.example/common/ordered"
 	"peridotpick.example/common/room"
 	"peridotpick.example/core/runner"
 	"peridotpick.example/wire/runs"
@@ -10,19 +12,39 @@
 
 // workerRun is a run at a simulated worker.
 type workerRun struct {
-	run   uint32
-	ends  time.Time
-	began time.Time
-	need  room.Room
+	run  uint32
+	need room.Room
+	// work is what it takes at full pace, done what had been done at paceAt, and
+	// pace the share of full pace since.
+	work, done time.Duration
+	pace       float64
+	paceAt     time.Time
 	// stopping is when a stop takes effect; zero if none was asked for.
 	stopping time.Time
 	fails    bool
 }
 
+// worked returns the work that is done.
+func (r *workerRun) worked(now time.Time) time.Duration {
+	return r.done + time.Duration(float64(now.Sub(r.paceAt))*r.pace)
+}
+
+// setPace changes the pace from now on.
+func (r *workerRun) setPace(now time.Time, pace float64) {
+	r.done = r.worked(now)
+	r.pace, r.paceAt = pace, now
+}
+
+// service is the one service of a world.
+const service = "s"
+
 // worker simulates one machine's worker: leases, fencing, ends, its own clock.
 type worker struct {
 	w        *world
 	name     string
+	centre   string
+	rack     string
+	number   int // in the layout
 	id       string
 	life     int
 	capacity room.Room
@@ -30,15 +52,17 @@
 	rate     float64
 	token    int64
 	until    int64
-	running  map[string]*workerRun
+	running  ordered.Map[string, *workerRun]
 	highest  map[string]uint32
 	ended    []runner.Ended
-	number   int64
+	ends     int64
 	look     *pendingLook
 	draining bool
 	failing  bool
 	hanging  bool
 	down     bool
+	// slow is how many times longer runs take than they should; 0 stands for 1.
+	slow float64
 }
 
 // pendingLook is a look that waits for an end.
@@ -48,8 +72,8 @@
 	at     time.Time
 }
 
-func newWorker(w *world, name string) *worker {
-	k := &worker{w: w, name: name}
+func newWorker(w *world, name, centre string, number int) *worker {
+	k := &worker{w: w, name: name, centre: centre, number: number, rack: fmt.Sprintf("r%d", number/w.layout.rackSize)}
 	k.reborn()
 	return k
 }
@@ -58,13 +82,44 @@
 func (k *worker) reborn() {
 	k.life++
 	k.id = k.name + "-" + string(rune('a'+k.life))
-	k.capacity = room.Room{CPU: 8000, Memory: 8000}
+	k.capacity = k.w.layout.capacity(k.number)
 	k.born = k.w.now.Add(-time.Duration(k.w.rand.IntN(100000)) * time.Millisecond)
 	k.rate = 0.98 + 0.02*k.w.rand.Float64()
-	k.token, k.until, k.number = 0, 0, 0
-	k.running, k.highest = make(map[string]*workerRun), make(map[string]uint32)
+	k.token, k.until, k.ends = 0, 0, 0
+	k.running, k.highest = ordered.Map[string, *workerRun]{}, make(map[string]uint32)
 	k.ended, k.look = nil, nil
-	k.down, k.draining, k.failing, k.hanging = false, false, false, false
+	k.down, k.draining, k.failing, k.hanging, k.slow = false, false, false, false, 0
+}
+
+// pace returns the share of full pace at which runs get on.
+func (k *worker) pace() float64 {
+	switch {
+	case k.hanging:
+		return 0
+	case k.slow > 0:
+		return 1 / k.slow
+	}
+	return 1
+}
+
+// setPace has hanging and slowness begin or end, also for what runs.
+func (k *worker) setPace(hanging bool, slow float64) {
+	k.hanging, k.slow = hanging, slow
+	for r := range k.running.Values() {
+		r.setPace(k.w.now, k.pace())
+	}
+}
+
+// crash ends the incarnation; nothing of it is listed any more.
+func (k *worker) crash() {
+	if k.down {
+		return
+	}
+	k.down = true
+	for task, r := range k.running.All() {
+		k.w.tally.ran(k, r, runs.Gone)
+		k.w.checks.ranUntil(task, k)
+	}
 }
 
 func (k *worker) clock() int64 {
@@ -72,7 +127,10 @@
 }
 
 func (k *worker) info() runs.Worker {
-	return runs.Worker{ID: k.id, Agent: k.name, Service: "s", DataCentre: "d", Capacity: k.capacity, Draining: k.draining}
+	return runs.Worker{
+		ID: k.id, Agent: k.name, Service: service, DataCentre: k.centre, Capacity: k.capacity,
+		Labels: []string{k.rack}, Draining: k.draining,
+	}
 }
 
 // step lets runs end by their work, stops and the lease.
@@ -81,15 +139,15 @@
 		return
 	}
 	if k.clock() > k.until {
-		k.w.lapse(k)
+		k.w.checks.lapse(k)
 	}
-	for task, r := range k.running {
+	for task, r := range k.running.All() {
 		switch {
 		case !r.stopping.IsZero() && !k.w.now.Before(r.stopping):
 			k.end(task, r, runs.Stopped)
 		case k.clock() > k.until:
 			k.end(task, r, runs.Stopped)
-		case !k.hanging && !k.w.now.Before(r.ends):
+		case r.worked(k.w.now) >= r.work:
 			how := runs.Done
 			if r.fails {
 				how = runs.Failed
@@ -101,15 +159,16 @@
 }
 
 func (k *worker) end(task string, r *workerRun, how runs.How) {
-	delete(k.running, task)
+	k.running.Delete(task)
+	k.w.tally.ran(k, r, how)
 	k.highest[task] = max(k.highest[task], r.run)
-	k.number++
-	k.ended = append(k.ended, runner.Ended{Number: k.number, Key: runs.Key{Task: task, Run: r.run}, How: how})
+	k.ends++
+	k.ended = append(k.ended, runner.Ended{Number: k.ends, Key: runs.Key{Task: task, Run: r.run}, How: how})
 	k.w.tell("worker %s ends %s/%d %s", k.id, task, r.run, how)
 	if how == runs.Done {
-		k.w.endedDone(k, runs.Key{Task: task, Run: r.run}, k.number)
+		k.w.checks.endedDone(k, runs.Key{Task: task, Run: r.run}, k.ends)
 	}
-	k.w.ranUntil(task, k)
+	k.w.checks.ranUntil(task, k)
 }
 
 // order carries an order out.
@@ -135,13 +194,13 @@
 
 func (k *worker) stop(key runs.Key) {
 	k.highest[key.Task] = max(k.highest[key.Task], key.Run)
-	if r := k.running[key.Task]; r != nil && r.run == key.Run && r.stopping.IsZero() {
+	if r := k.running.Get(key.Task); r != nil && r.run == key.Run && r.stopping.IsZero() {
 		r.stopping = k.w.now.Add(time.Duration(k.w.rand.IntN(50)) * time.Millisecond)
 	}
 }
 
 func (k *worker) start(o runner.Order, need room.Room) runner.Verdict {
-	if r := k.running[o.Key.Task]; r != nil && r.run == o.Key.Run {
+	if r := k.running.Get(o.Key.Task); r != nil && r.run == o.Key.Run {
 		return runner.Accepted
 	}
 	if o.Key.Run <= k.highest[o.Key.Task] {
@@ -151,12 +210,12 @@
 		return runner.RefusedLate
 	}
 	k.until = max(k.until, o.Deadline)
-	work := time.Duration(20+k.w.rand.IntN(400)) * time.Millisecond
-	k.running[o.Key.Task] = &workerRun{
-		run: o.Key.Run, began: k.w.now, ends: k.w.now.Add(work), need: need, fails: k.failing || k.w.rand.IntN(100) == 0,
-	}
+	work, fails := k.w.startOf(o.Key)
+	k.running.Put(o.Key.Task, &workerRun{
+		run: o.Key.Run, pace: k.pace(), paceAt: k.w.now, work: work, need: need, fails: k.failing || fails,
+	})
 	k.w.tell("worker %s starts %s/%d", k.id, o.Key.Task, o.Key.Run)
-	k.w.startedOn(o.Key, k)
+	k.w.checks.startedOn(o.Key, k)
 	return runner.Accepted
 }
 
@@ -174,10 +233,10 @@
 		return
 	}
 	k.token = l.Token
-	if len(k.running) > 0 {
+	if k.running.Len() > 0 {
 		k.until = max(k.until, l.Deadline)
 	}
-	k.w.noteEnds(k, l.LastSeen)
+	k.w.checks.noteEnds(k, l.LastSeen)
 	kept := k.ended[:0:0]
 	for _, e := range k.ended {
 		if e.Number > l.LastSeen {
@@ -200,11 +259,8 @@
 	}
 	k.look = nil
 	var listing runner.Listing
-	for task, r := range k.running {
-		percent := int(100 * k.w.now.Sub(r.began) / r.ends.Sub(r.began))
-		if k.hanging {
-			percent = 0
-		}
+	for task, r := range k.running.All() {
+		percent := int(100 * r.worked(k.w.now) / max(r.work, 1))
 		listing.Running = append(listing.Running, runner.Running{Key: runs.Key{Task: task, Run: r.run}, Percent: min(percent, 99)})
 	}
 	listing.Cut = len(k.ended) >= listedAtOnce
