--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -38,7 +38,7 @@
 	log := sink.For(logs.Agent)
 	registry := metrics.NewRegistry()
 	a := runner.New(superviseSettings(file), runner.Deps{
-		Logs: sink, Transport: transport.New(nil), Registry: store.New(file.Platform.Address),
+		Logs: sink, Transport: transport.New(nil), Registry: store.New(file.Platform.Address, log),
 		Metrics: registry,
 		Worker:  worker.New(file.BackendServer, lookWait, log),
 	})
--- a/cmd/peridotpick/dispatch.go
+++ b/cmd/peridotpick/dispatch.go
@@ -38,7 +38,7 @@
 	defer func() { _ = sink.Close() }()
 	registry := metrics.NewRegistry()
 	e, err := batch.New(dispatchSettings(file), batch.Deps{
-		Logs: sink, Transport: transport.New(nil), Store: store.New(file.Platform.Address), Metrics: registry,
+		Logs: sink, Transport: transport.New(nil), Store: store.New(file.Platform.Address, sink.For(logs.Entry)), Metrics: registry,
 	})
 	if err != nil {
 		return err
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -91,7 +91,7 @@
 	if old := c.lost.Get(a.worker.Agent); old == nil || old.overAt.Before(over) {
 		c.lost.Put(a.worker.Agent, &lostAgent{overAt: over})
 	}
-	c.note(Note{Event: "agent lost", Worker: a.worker.ID, Age: now.Sub(a.heardAt)})
+	c.note(Note{Event: "agent lost", Agent: a.worker.Agent, Worker: a.worker.ID, Reason: "link closed", Age: now.Sub(a.heardAt)})
 }
 
 // Receive handles a message of an agent.
@@ -138,8 +138,8 @@
 // workerTold takes what an agent says of its worker. The first time, the entry
 // tells the agent which runs it believes to be there.
 func (c *Core) workerTold(a *agent, w *runs.Worker) {
+	c.noteWorker(a, w)
 	a.worker = *w
-	c.note(Note{Event: "worker", Worker: w.ID, Reason: drainingWord(w.Draining)})
 	if a.greeted {
 		return
 	}
@@ -169,11 +169,25 @@
 	}
 }
 
-func drainingWord(draining bool) string {
-	if draining {
-		return "draining"
+// noteWorker logs what is believed of an agent's worker from now on, and why, if that
+// is something new. An agent that has no usable worker names none.
+func (c *Core) noteWorker(a *agent, told *runs.Worker) {
+	was, is := &a.worker, told
+	if was.Agent != "" && was.ID == is.ID && was.Draining == is.Draining {
+		return
+	}
+	n := Note{Event: "worker", Agent: is.Agent, Worker: is.ID, Reason: "usable"}
+	switch {
+	case is.ID == "" && was.ID == "":
+		n.Reason = "none yet"
+	case is.ID == "":
+		n.Worker, n.Reason = was.ID, "gone, out of reach or not looked at"
+	case is.Draining:
+		n.Reason = "draining"
+	case was.ID != "" && was.ID != is.ID:
+		n.Reason = "usable, after another incarnation"
 	}
-	return ""
+	c.note(n)
 }
 
 // expireLost ends the runs at lost agents whose leases have passed.
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -135,9 +135,11 @@
 	Queue   string
 	Version uint64
 	Key     runs.Key
-	Worker  string
-	How     runs.How
-	Reason  string
+	// Agent is the worker's agent, where the decision is about the worker itself.
+	Agent  string
+	Worker string
+	How    runs.How
+	Reason string
 	// Age is the age of the load that decided, Expected the time that was expected,
 	// Wait the part of it before the start, Slack what the job could wait.
 	Age, Expected, Wait, Slack time.Duration
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -292,16 +292,42 @@
 		if leftOut > 0 {
 			line.Int("left_out", leftOut)
 		}
-		line.Str("job", n.Job).Str("queue", n.Queue).Uint64("config", n.Version)
-		if n.Key.Task != "" {
-			line.Str("task", n.Key.Task).Uint32("run", n.Key.Run)
+		describe(line, n).Msg("route: " + n.Event)
+	}
+}
+
+// describe adds what a decision is about and what decided it. Fields without a value
+// are left out.
+func describe(line *zerolog.Event, n *core.Note) *zerolog.Event {
+	word := func(name, value string) {
+		if value != "" {
+			line.Str(name, value)
 		}
-		if n.How != 0 {
-			line.Stringer("how", n.How)
+	}
+	span := func(name string, value time.Duration) {
+		if value != 0 {
+			line.Dur(name, value)
 		}
-		line.Str("worker", n.Worker).Str("reason", n.Reason).Dur("age", n.Age).Dur("expected", n.Expected).
-			Dur("wait", n.Wait).Dur("slack", n.Slack).Msg("route: " + n.Event)
 	}
+	word("job", n.Job)
+	word("queue", n.Queue)
+	if n.Version != 0 {
+		line.Uint64("config", n.Version)
+	}
+	if n.Key.Task != "" {
+		line.Str("task", n.Key.Task).Uint32("run", n.Key.Run)
+	}
+	if n.How != 0 {
+		line.Stringer("how", n.How)
+	}
+	word("agent", n.Agent)
+	word("worker", n.Worker)
+	word("reason", n.Reason)
+	span("age", n.Age)
+	span("expected", n.Expected)
+	span("wait", n.Wait)
+	span("slack", n.Slack)
+	return line
 }
 
 func metricName(event string) string { return strings.ReplaceAll(event, " ", "_") }
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -326,8 +326,14 @@
 	if leftOut > 0 {
 		line.Int("left_out", leftOut)
 	}
-	line.Str("task", n.Key.Task).Uint32("run", n.Key.Run).Str("entry", n.Entry).
-		Stringer("reason", n.Reason).Dur("age", n.Age).Msg("agent: " + n.Event)
+	line.Str("task", n.Key.Task).Uint32("run", n.Key.Run).Str("entry", n.Entry)
+	if n.Reason != runs.NoReason {
+		line.Stringer("reason", n.Reason)
+	}
+	if n.Age != 0 {
+		line.Dur("age", n.Age)
+	}
+	line.Msg("agent: " + n.Event)
 }
 
 // publish keeps the metrics of the present state.
