One ring for the loops of entries and agents; one copy of the times that no file names

Cause: the loops of service/batch and service/runner had the same post, drain and batch code, and the emulator repeated the settings that the two binaries give their cores, so that it could have drifted from production. Change: service/eventloop; batch.Standard and runner.Standard, used by the binaries and the emulator. No behaviour changes.

--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -40,7 +40,7 @@
 	a := runner.New(superviseSettings(file), runner.Deps{
 		Logs: sink, Transport: transport.New(nil), Registry: store.New(file.Platform.Address, log),
 		Metrics: registry,
-		Worker:  worker.New(file.BackendServer, lookWait, log),
+		Worker:  worker.New(file.BackendServer, core.Standard().LookWait, log),
 	})
 	announcements := worker.NewAnnouncements(file.Name, a, log)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -55,29 +55,14 @@
 	return group.Wait()
 }
 
-// Times of an agent that no settings name.
-const (
-	// lookWait is how long a look at the worker waits for an end. It bounds the age
-	// of what is known of the progress of runs.
-	lookWait = 60 * time.Millisecond
-	// adoptWithin is what an entry needs to find a new agent process.
-	adoptWithin = 250 * time.Millisecond
-	beat        = 100 * time.Millisecond
-	idleBeat    = 500 * time.Millisecond
-	// queueLimit is some four rounds of a full worker.
-	queueLimit = 64
-	lateFactor = 1.5
-	// drainReserve is kept back from the grace.
-	drainReserve = time.Second
-)
+// drainReserve is kept back from the grace.
+const drainReserve = time.Second
 
 func superviseSettings(file *boot.File) runner.Settings {
+	decisions := core.Standard()
+	decisions.Agent = file.Name
+	decisions.OwnerLease, decisions.WorkerLease = file.OwnerLease(), file.WorkerLease()
 	return runner.Settings{
-		Name: file.Name, Seeds: file.EntrySeeds(), DrainTimeout: file.Grace() - drainReserve,
-		Core: core.Settings{
-			Agent:      file.Name,
-			OwnerLease: file.OwnerLease(), WorkerLease: file.WorkerLease(), LookWait: lookWait,
-			AdoptWithin: adoptWithin, QueueLimit: queueLimit, Beat: beat, IdleBeat: idleBeat, LateFactor: lateFactor,
-		},
+		Name: file.Name, Seeds: file.EntrySeeds(), DrainTimeout: file.Grace() - drainReserve, Core: decisions,
 	}
 }
--- a/cmd/peridotpick/dispatch.go
+++ b/cmd/peridotpick/dispatch.go
@@ -58,18 +58,6 @@
 
 // Times of an entry that no settings name.
 const (
-	ownerBeat = 100 * time.Millisecond
-	idleBeat  = 500 * time.Millisecond
-	// silentAfter is three missed beats of an idle link.
-	silentAfter = 1600 * time.Millisecond
-	// stallLimit is several ticks of the loop, and below the lease.
-	stallLimit = 350 * time.Millisecond
-	settling   = 100 * time.Millisecond
-	// overhead is the way from and to a caller and to a worker and back.
-	overhead = 10 * time.Millisecond
-	// crossCost is the way to another data centre and back, in the two users'
-	// deployments 1 and 1.8 ms, with some margin against needless traffic.
-	crossCost = 4 * time.Millisecond
 	// ownFor outlasts the outages of the store that are usual there, 4.5 s: a longer
 	// one stops the durable jobs of the entries it reaches.
 	ownFor = 5500 * time.Millisecond
@@ -85,6 +73,10 @@
 )
 
 func dispatchSettings(file *boot.File) batch.Settings {
+	decisions := core.Standard()
+	decisions.DataCentre = file.DataCentre
+	decisions.OwnerLease, decisions.WorkerLease = file.OwnerLease(), file.RunsOver()
+	decisions.RemoteFactor = file.Bounds.RemoteFactor
 	return batch.Settings{
 		WritesPerSecond: file.Platform.WritesPerSecond * writeShare,
 		Ledger: ledger.Settings{
@@ -92,10 +84,6 @@
 			KeepEnded: file.KeepEnded() + keepSlack, MaxOpen: maxOpen,
 		},
 		Name: file.Name, Address: file.Internal(file.IP), Seeds: file.EntrySeeds(),
-		Core: core.Settings{
-			DataCentre: file.DataCentre, OwnerLease: file.OwnerLease(), WorkerLease: file.RunsOver(),
-			Beat: ownerBeat, IdleBeat: idleBeat, SilentAfter: silentAfter, StallLimit: stallLimit, Settling: settling,
-			RemoteFactor: file.Bounds.RemoteFactor, CrossCost: crossCost, Overhead: overhead,
-		},
+		Core: decisions,
 	}
 }
--- a/lab/emulator/deployment.go
+++ b/lab/emulator/deployment.go
@@ -14,8 +14,10 @@
 
 	"peridotpick.example/common/room"
 	"peridotpick.example/common/settings"
+	"peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
 	"peridotpick.example/core/policy"
+	"peridotpick.example/core/runner"
 )
 
 // Deployment describes what is emulated: instances, distances, kinds of jobs and
@@ -238,8 +240,6 @@
 const (
 	layoutOwnFor      = 5500 * time.Millisecond
 	layoutEntrySilent = 2 * time.Second
-	layoutLookWait    = 60 * time.Millisecond
-	layoutCrossCost   = 4 * time.Millisecond
 	layoutJitter      = 400 * time.Microsecond
 	longestLease      = time.Second
 	layoutRemote      = 1.5
@@ -250,7 +250,7 @@
 	l := &layout{
 		rackSize: d.RackSize, resend: d.Resend.Std(), ownFor: layoutOwnFor, entrySilent: layoutEntrySilent,
 		within: d.Within.Std(), across: d.Across.Std(), caller: d.Caller.Std(), jitter: layoutJitter,
-		announceEvery: d.Announce.Std(), lookWait: layoutLookWait, crossCost: layoutCrossCost, remoteFactor: layoutRemote,
+		announceEvery: d.Announce.Std(), lookWait: runner.Standard().LookWait, crossCost: batch.Standard().CrossCost, remoteFactor: layoutRemote,
 		bootEntry: d.BootEntry.Std(), bootAgent: d.BootAgent.Std(), policy: p,
 		capacity: func(n int) room.Room {
 			r := d.Room
--- a/lab/emulator/layout.go
+++ b/lab/emulator/layout.go
@@ -49,16 +49,7 @@
 	tick = 20 * time.Millisecond
 	step = 2 * time.Millisecond
 	// linkRetry is the pause before a link is opened again.
-	linkRetry   = 50 * time.Millisecond
-	ownerBeat   = 100 * time.Millisecond
-	idleBeat    = 500 * time.Millisecond
-	silentAfter = 1600 * time.Millisecond
-	stallLimit  = 350 * time.Millisecond
-	settling    = 100 * time.Millisecond
-	overhead    = 10 * time.Millisecond
-	adoptWithin = 250 * time.Millisecond
-	lateFactor  = 1.5
-	queueLimit  = 64
+	linkRetry = 50 * time.Millisecond
 )
 
 // oneWay returns the shortest way between two data centres.
--- a/lab/emulator/processes.go
+++ b/lab/emulator/processes.go
@@ -78,11 +78,10 @@
 	a.dead = false
 	a.looking = false
 	a.links = ordered.Map[runner.LinkID, *simLink]{}
-	a.core = runner.New(runner.Settings{
-		Agent: a.worker.name, OwnerLease: l.ownerLease, WorkerLease: l.workerLease, LookWait: l.lookWait,
-		AdoptWithin: adoptWithin, QueueLimit: queueLimit, Beat: ownerBeat, IdleBeat: idleBeat, LateFactor: lateFactor,
-		Policy: l.policy,
-	})
+	settings := runner.Standard()
+	settings.Agent, settings.Policy = a.worker.name, l.policy
+	settings.OwnerLease, settings.WorkerLease, settings.LookWait = l.ownerLease, l.workerLease, l.lookWait
+	a.core = runner.New(settings)
 	a.ticks()
 	a.announce()
 	if a.known.ID != "" {
@@ -253,11 +252,11 @@
 	e.self = runs.Entry{Address: e.address, Incarnation: e.w.nextLife}
 	e.links = ordered.Map[batch.LinkID, *simLink]{}
 	e.open = ordered.Map[batch.RequestID, *request]{}
-	e.core = batch.New(batch.Settings{
-		Seed: e.w.nextLife, DataCentre: e.centre, OwnerLease: l.ownerLease, WorkerLease: l.runsOver, Beat: ownerBeat,
-		IdleBeat: idleBeat, SilentAfter: silentAfter, StallLimit: stallLimit, Settling: settling,
-		RemoteFactor: l.remoteFactor, CrossCost: l.crossCost, Overhead: overhead, Policy: l.policy,
-	})
+	settings := batch.Standard()
+	settings.Seed, settings.DataCentre, settings.Policy = e.w.nextLife, e.centre, l.policy
+	settings.OwnerLease, settings.WorkerLease = l.ownerLease, l.runsOver
+	settings.RemoteFactor, settings.CrossCost = l.remoteFactor, l.crossCost
+	e.core = batch.New(settings)
 	e.asks = make(map[ledger.RequestID]func(errkind.Kind))
 	e.ledger = ledger.New(ledger.Settings{
 		Self: e.self, OwnFor: l.ownFor, RunsOver: l.ownerLease + l.runsOver, SilentAfter: l.entrySilent,
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -24,6 +24,7 @@
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
 	"peridotpick.example/core/ledger"
+	"peridotpick.example/service/eventloop"
 	"peridotpick.example/service/telemetry"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
@@ -87,9 +88,6 @@
 	tickIdle = 100 * time.Millisecond
 )
 
-// event is something that happened, for the loop.
-type event func(c *core.Core, now time.Time)
-
 // Entry is one running entry.
 type Entry struct {
 	settings Settings
@@ -99,7 +97,7 @@
 	budget   *logs.Budget
 	self     runs.Entry
 	core     *core.Core
-	events   chan event
+	events   *eventloop.Ring[*core.Core]
 	links    map[core.LinkID]*link
 	waiting  map[core.RequestID]chan core.Answer
 	nextID   atomic.Uint64
@@ -129,10 +127,11 @@
 		settings: s, deps: deps, log: deps.Logs.For(logs.Entry), routeLog: deps.Logs.For(logs.Route),
 		budget: logs.NewBudget(linesPerSecond),
 		self:   runs.Entry{Address: s.Address, Incarnation: number, DataCentre: s.Core.DataCentre},
-		core:   core.New(s.Core), events: make(chan event, eventRing), links: make(map[core.LinkID]*link),
+		core:   core.New(s.Core), links: make(map[core.LinkID]*link),
 		waiting: make(map[core.RequestID]chan core.Answer), listener: listener,
 	}
 	e.work, e.abort = context.WithCancel(context.Background())
+	e.events = eventloop.New[*core.Core](eventRing, e.work.Done())
 	e.peers = newPeers(e)
 	e.keeper = newKeeper(e, s.Ledger, s.WritesPerSecond)
 	return e, nil
@@ -179,12 +178,7 @@
 }
 
 // post hands an event to the loop, unless the entry has stopped.
-func (e *Entry) post(ev event) {
-	select {
-	case e.events <- ev:
-	case <-e.work.Done():
-	}
-}
+func (e *Entry) post(ev eventloop.Event[*core.Core]) { e.events.Post(ev) }
 
 // loop owns the core.
 func (e *Entry) loop(ctx context.Context) error {
@@ -194,10 +188,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case ev := <-e.events:
-			now := boottime.Now()
-			ev(e.core, now)
-			e.drainEvents(now)
+		case ev := <-e.events.Next():
+			e.events.Take(ev, e.core, boottime.Now())
 		case <-timer.C:
 		}
 		now := boottime.Now()
@@ -241,20 +233,6 @@
 	return tickBusy
 }
 
-// eventBatch bounds the events taken before their output is carried out.
-const eventBatch = 64
-
-func (e *Entry) drainEvents(now time.Time) {
-	for range eventBatch {
-		select {
-		case ev := <-e.events:
-			ev(e.core, now)
-		default:
-			return
-		}
-	}
-}
-
 // perform carries out what the core asks for.
 func (e *Entry) perform(out core.Output) {
 	for _, id := range out.Closes {
--- /dev/null
+++ b/service/eventloop/ring_test.go
@@ -0,0 +1,32 @@
+package eventloop
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestTakeKeepsOrderAndEndsAfterABatch(t *testing.T) {
+	is := is.New(t)
+	r := New[*[]int](2*batch+2, nil)
+	for n := range 2*batch + 2 {
+		r.Post(func(list *[]int, _ time.Time) { *list = append(*list, n) })
+	}
+	var got []int
+	r.Take(<-r.Next(), &got, time.Time{})
+	is.Equal(len(got), batch+1)
+	for i, n := range got {
+		is.Equal(i, n)
+	}
+}
+
+func TestPostEndsWithTheLoop(t *testing.T) {
+	is := is.New(t)
+	stopped := make(chan struct{})
+	r := New[int](1, stopped)
+	is.True(r.TryPost(func(int, time.Time) {}))
+	is.True(!r.TryPost(func(int, time.Time) {})) // full
+	close(stopped)
+	r.Post(func(int, time.Time) {}) // returns
+}
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -18,6 +18,7 @@
 	"peridotpick.example/common/boottime"
 	"peridotpick.example/common/logs"
 	core "peridotpick.example/core/runner"
+	"peridotpick.example/service/eventloop"
 	"peridotpick.example/service/telemetry"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
@@ -87,9 +88,6 @@
 	leaveNotice = 100 * time.Millisecond
 )
 
-// event is something that happened, for the loop.
-type event func(c *core.Core, now time.Time)
-
 // Agent is one running agent.
 type Agent struct {
 	settings Settings
@@ -97,7 +95,7 @@
 	log      zerolog.Logger
 	budget   *logs.Budget
 	core     *core.Core
-	events   chan event
+	events   *eventloop.Ring[*core.Core]
 	starts   chan core.Order
 	stops    chan core.Order
 	lookNow  chan struct{}
@@ -113,11 +111,12 @@
 func New(s Settings, deps Deps) *Agent {
 	a := &Agent{
 		settings: s, deps: deps, log: deps.Logs.For(logs.Agent), budget: logs.NewBudget(linesPerSecond), core: core.New(s.Core),
-		events: make(chan event, eventRing), starts: make(chan core.Order, orderRing),
-		stops: make(chan core.Order, orderRing), lookNow: make(chan struct{}, 1),
+		starts: make(chan core.Order, orderRing),
+		stops:  make(chan core.Order, orderRing), lookNow: make(chan struct{}, 1),
 		links: make(map[core.LinkID]*link),
 	}
 	a.work, a.abort = context.WithCancel(context.Background())
+	a.events = eventloop.New[*core.Core](eventRing, a.work.Done())
 	a.dir = newDirectory(a)
 	return a
 }
@@ -214,12 +213,7 @@
 }
 
 // post hands an event to the loop, unless the agent has stopped.
-func (a *Agent) post(e event) {
-	select {
-	case a.events <- e:
-	case <-a.work.Done():
-	}
-}
+func (a *Agent) post(e eventloop.Event[*core.Core]) { a.events.Post(e) }
 
 // loop owns the core.
 func (a *Agent) loop(ctx context.Context) error {
@@ -229,11 +223,10 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case e := <-a.events:
+		case e := <-a.events.Next():
 			now := boottime.Now()
 			a.core.Tick(now) // leases are judged before anything else, also after a suspension
-			e(a.core, now)
-			a.drainEvents(now)
+			a.events.Take(e, a.core, now)
 		case <-timer.C:
 			a.core.Tick(boottime.Now())
 			a.publish()
@@ -252,20 +245,6 @@
 	return tickBusy
 }
 
-// eventBatch bounds the events taken before their output is carried out.
-const eventBatch = 64
-
-func (a *Agent) drainEvents(now time.Time) {
-	for range eventBatch {
-		select {
-		case e := <-a.events:
-			e(a.core, now)
-		default:
-			return
-		}
-	}
-}
-
 // markBusy tells the links' watchers whether a silent entry is a fault.
 func (a *Agent) markBusy() {
 	for id, l := range a.links {
@@ -346,9 +325,7 @@
 // answered reports the outcome of an order without waiting for the loop.
 func (a *Agent) answered(o core.Order, answer core.Answer) {
 	report := func(c *core.Core, now time.Time) { c.Ordered(now, o, answer) }
-	select {
-	case a.events <- report:
-	default:
+	if !a.events.TryPost(report) {
 		go a.post(report)
 	}
 }
