--- a/lab/emulator/schedule_test.go
+++ b/lab/emulator/schedule_test.go
@@ -166,3 +166,36 @@
 	is.Equal(len(w.checks.broken), 0)
 	is.True(w.checks.done >= 95)
 }
+
+// TestLeftoversEndInTime plays late starts, cancels and entries that go for good, and
+// checks that no task of a cancelled or left job runs on beyond the bound.
+func TestLeftoversEndInTime(t *testing.T) {
+	const bound = 3 * time.Second // within which a cancelled job's tasks are gone
+	for seed := uint64(1); seed <= 12; seed++ {
+		w := newWorld(seed, testLayout())
+		w.lostOrders = 0.2
+		left := make(map[string]time.Time)
+		for n := range 200 {
+			j := testJob(w, fmt.Sprintf("%016x", n), 2, 1)
+			j.leavesAfter = time.Duration(20+w.rand.IntN(300)) * time.Millisecond
+			at := time.Duration(w.rand.Int64N(int64(5 * time.Second)))
+			w.after(at, func() { w.submit(j) })
+			w.after(at+j.leavesAfter, func() { left[j.name] = w.now })
+		}
+		w.after(3*time.Second, func() { w.entries[0].kill(time.Hour) })
+		w.every(50*time.Millisecond, worldStart.Add(10*time.Second), func() {
+			for _, k := range w.workers {
+				for task := range k.running.All() {
+					key := runs.Key{Task: task}
+					if since, gone := left[key.Job()]; gone && w.now.Sub(since) > bound {
+						w.checks.breaks("%s still runs %v after its caller left", task, w.now.Sub(since))
+					}
+				}
+			}
+		})
+		w.run(10 * time.Second)
+		for _, b := range w.checks.broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	}
+}
