--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -316,7 +316,7 @@
 	switch n.Event {
 	case "end":
 		name = "run." + n.How.String()
-	case "refuse", "give up":
+	case "refuse", "defer", "give up":
 		name += "." + strings.ReplaceAll(n.Reason, " ", "_")
 	case "done":
 		telemetry.Histogram("job.ms", e.deps.Metrics).Update(n.Age.Milliseconds())
--- a/service/explain/explain_test.go
+++ b/service/explain/explain_test.go
@@ -67,6 +67,8 @@
 	is.Equal(late.Cause(), "it waited for room")
 	is.Equal(Slowest{Ran: 90, ExpectedRun: 30, Waited: 5}.Cause(), "it ran long")
 	is.Equal(Slowest{Begun: 300, Ran: 90, ExpectedRun: 30}.Cause(), "its last run began late")
+	is.Equal(Slowest{Begun: 300, Deferred: true}.Cause(), "the job was deferred until room stayed free")
+	is.Equal(Slowest{Ran: 300, Deferred: true}.Cause(), "it ran long") // deferred, but not for long
 	var b strings.Builder
 	is.NoErr(s.Print(&b))
 	is.True(strings.Contains(b.String(), "last to end: j.0.0.0 on w1, began after 1.0 ms, waited 135.0 ms (10.0 expected), ran 65.0 ms (60.0 expected), it waited for room"))
--- a/service/explain/late.go
+++ b/service/explain/late.go
@@ -15,6 +15,8 @@
 	// Waited is the time that the last run waited at its agent for room, Ran the time
 	// at the worker. Expected are those that the entry expected.
 	Waited, Ran, ExpectedWait, ExpectedRun float64
+	// Deferred is true if the job had to wait for room that stays free.
+	Deferred bool
 }
 
 // Late returns the task that ended last; ok is false if the logs lack its start,
@@ -33,7 +35,7 @@
 	late = Slowest{
 		Task: task, Worker: text(end.Fields["worker"]), Ran: number(atAgent.Fields["age"]),
 		Begun:        float64(start.At.Sub(s.Lines[0].At).Microseconds()) / 1000,
-		ExpectedWait: number(start.Fields["wait"]),
+		ExpectedWait: number(start.Fields["wait"]), Deferred: s.last("route: defer", "", nil) != nil,
 	}
 	late.Waited = max(number(end.Fields["age"])-late.Ran, 0)
 	late.ExpectedRun = max(number(start.Fields["expected"])-late.ExpectedWait, 0)
@@ -65,6 +67,8 @@
 func (l Slowest) Cause() string {
 	waited, ran := l.Waited-l.ExpectedWait, l.Ran-l.ExpectedRun
 	switch {
+	case l.Begun >= waited && l.Begun >= ran && l.Deferred:
+		return "the job was deferred until room stayed free"
 	case l.Begun >= waited && l.Begun >= ran:
 		return "its last run began late"
 	case waited >= ran:
