--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -134,16 +134,6 @@
 	return n
 }
 
-// processOf returns the entry of an address.
-func (w *world) entryAt(address string) *entryProcess {
-	for _, e := range w.entries {
-		if e.address == address {
-			return e
-		}
-	}
-	return nil
-}
-
 // request is one attempt to hand a job in.
 type request struct {
 	id   batch.RequestID
