--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -239,60 +239,6 @@
 	return true
 }
 
-// giveUp answers all requests of a job and ends it.
-func (c *Core) giveUp(j *job, kind errkind.Kind, reason string) {
-	if j.ended {
-		return
-	}
-	c.failDurable(j, kind)
-	c.note(Note{Event: "give up", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: reason, Age: c.now.Sub(j.arrived)})
-	if kind != outOfTime || j.begun || !j.placed() {
-		c.answer(j, c.truthful(j, kind))
-		c.endJob(j)
-		return
-	}
-	j.answerBy = c.now.Add(proofWait)
-	c.endJob(j)
-}
-
-// proofWait is how long the answer of a job that is given up waits for the proof
-// that nothing of it began: a few round trips. With the proof the caller may come
-// back; without it a job that must not run twice is lost to the caller.
-const proofWait = 40 * time.Millisecond
-
-// truthful turns a job's end for lack of time into what can be said of it.
-func (c *Core) truthful(j *job, kind errkind.Kind) errkind.Kind {
-	switch {
-	case kind != outOfTime:
-		return kind
-	case j.begun || j.placed():
-		return errkind.DeadlineExceeded
-	}
-	return errkind.Overloaded
-}
-
-// answerProved answers a job that was given up once all its runs are over, or
-// when the answer may wait no longer.
-func (c *Core) answerProved(j *job) {
-	if j.answerBy.IsZero() || j.placed() && !j.begun && c.now.Before(j.answerBy) {
-		return
-	}
-	j.answerBy = time.Time{}
-	c.answer(j, c.truthful(j, outOfTime))
-}
-
-func (c *Core) answer(j *job, kind errkind.Kind) {
-	retryAfter := time.Duration(0)
-	if errkind.Of(kind).Retry {
-		retryAfter = retrySoon
-	}
-	for _, id := range j.requests {
-		delete(c.byRequest, id)
-		c.out.Answers = append(c.out.Answers, Answer{Request: id, Kind: kind, RetryAfter: retryAfter})
-	}
-	j.requests = nil
-}
-
 // endJob stops what runs of a job; the job is forgotten when all is over.
 func (c *Core) endJob(j *job) {
 	j.ended = true
@@ -333,12 +279,7 @@
 	c.answerProved(j)
 }
 
-// outOfTime gives a job up for lack of time. What the caller is told depends on
-// whether anything of it began.
-const outOfTime = errkind.DeadlineTooShort
-
 // placed reports whether a run was sent out that has not ended: it may have begun.
-
 func (j *job) placed() bool {
 	for i := range j.steps {
 		for _, t := range j.steps[i].tasks {
@@ -349,90 +290,3 @@
 	}
 	return false
 }
-
-// endOf handles the end of a run.
-func (c *Core) endOf(worker string, end runs.End) {
-	t := c.byTask[end.Key.Task]
-	if t == nil || t.state != taskPlaced || t.run != end.Key.Run {
-		return // of an earlier run or a job that is forgotten
-	}
-	j := t.job
-	if a := c.agents.Get(t.on); a != nil {
-		a.runs--
-	}
-	c.note(Note{
-		Event: "end", Job: j.name, Queue: j.queue.Name, Version: j.version, Key: end.Key, Worker: worker,
-		How: end.How, Reason: end.Reason.String(), Age: c.now.Sub(t.sentAt), Expected: t.expected,
-	})
-	if end.How != runs.Refused {
-		j.begun = true
-	}
-	t.stopping = false
-	t.slow = false
-	t.waitsAt = 0
-	if end.How == runs.Done {
-		c.taskDone(t, end)
-	} else {
-		t.state = taskWaiting
-		if j.durable != nil && !end.Held && end.How != runs.Refused && !j.ended {
-			c.abandon(t, end.Key.Run)
-		}
-		c.ranBadly(t, worker, end)
-	}
-	if j.ended {
-		c.answerProved(j)
-		c.forgetIfOver(j)
-		return
-	}
-	c.placeJob(j)
-}
-
-func (c *Core) taskDone(t *task, end runs.End) {
-	t.state = taskDone
-	t.step.left--
-	t.job.left--
-	if end.Ran > 0 {
-		c.waits.observe(t.expectedWait, max(c.now.Sub(t.sentAt)-end.Ran-c.settings.Overhead/2, 0))
-		c.learn.observe(t.job.queue.Name, t.step.Estimate, end.Ran)
-	}
-	if t.job.left == 0 && !t.job.ended {
-		c.note(Note{Event: "done", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Age: c.now.Sub(t.job.arrived), Expected: t.job.objective})
-		c.answer(t.job, errkind.OK)
-		t.job.ended = true
-		if t.job.durable != nil {
-			c.ended(t.job, JobDone)
-		}
-	}
-}
-
-// ranBadly counts a run that did not complete its task.
-func (c *Core) ranBadly(t *task, worker string, end runs.End) {
-	switch end.How {
-	case runs.Failed:
-		c.taskFailed(t, worker)
-	case runs.Refused:
-		if t.refusedBy == nil {
-			t.refusedBy = make(map[string]int)
-		}
-		t.refusedBy[worker]++
-		if end.Reason == runs.OldRun {
-			t.run += oldRunStep
-		}
-	}
-}
-
-// taskFailed counts a failure of the task itself. Failures on a worker that
-// fails most of what it runs say nothing of the task.
-func (c *Core) taskFailed(t *task, worker string) {
-	if t.failedOn == nil {
-		t.failedOn = make(map[string]int)
-	}
-	t.failedOn[worker]++
-	if t.job.durable == nil && c.failing(worker) {
-		return
-	}
-	t.failures++
-	if t.failures >= t.job.queue.MaxAttempts {
-		c.giveUp(t.job, errkind.TaskFailed, "task failed")
-	}
-}
--- a/lab/emulator/deployment.go
+++ b/lab/emulator/deployment.go
@@ -230,7 +230,7 @@
 
 func number(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
 
-func (k *Kind) queue() *catalog.Queue {
+func (k *Kind) newQueue() *catalog.Queue {
 	return &catalog.Queue{
 		Name: k.Name, Service: service, Priority: k.Priority, MaxAttempts: k.MaxAttempts, Stretch: k.Stretch, Target: k.Target.Std(),
 	}
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// faultKinds are the troubles of scenarios. Those of the load itself (burst,
+// faultsByName are the troubles of scenarios. Those of the load itself (burst,
 // impossible, cancels) are looked up by the arrivals; the others act on a play.
 var faultsByName = map[string]func(p *play, f *Fault){
 	// burst multiplies the arrivals by its factor.
--- a/lab/emulator/play.go
+++ b/lab/emulator/play.go
@@ -9,6 +9,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"peridotpick.example/core/batch"
+	"peridotpick.example/core/catalog"
 	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
@@ -40,8 +41,9 @@
 type kind struct {
 	*Kind
 	index int
-	job   *batch.Request // its queue
-	mean  float64
+	queue *catalog.Queue
+	// meanWork is that of its jobs, in core-seconds.
+	meanWork float64
 }
 
 // Result is what a play gave.
@@ -89,8 +91,8 @@
 func newKind(index int, k *Kind) *kind {
 	steps := max(k.Steps, 1)
 	return &kind{
-		Kind: k, index: index, job: &batch.Request{Queue: k.queue()},
-		mean: float64(steps) * k.Width.Mean * k.CPU.Mean / milliCores * k.WorkMillis.Mean / 1000,
+		Kind: k, index: index, queue: k.newQueue(),
+		meanWork: float64(steps) * k.Width.Mean * k.CPU.Mean / milliCores * k.WorkMillis.Mean / 1000,
 	}
 }
 
@@ -201,7 +203,7 @@
 func (p *play) schedule(now time.Duration, k *kind, centre int) {
 	p.count++
 	j := &jobSpec{
-		name: fmt.Sprintf("%016x", p.count), queue: k.job.Queue, patience: k.Patience.Std(), durable: k.Durable,
+		name: fmt.Sprintf("%016x", p.count), queue: k.queue, patience: k.Patience.Std(), durable: k.Durable,
 		attempts: maxAttempts, returns: k.Returns,
 	}
 	works := p.drawSteps(j, k)
@@ -209,7 +211,7 @@
 	p.during("impossible", now, k, centre, func(f *Fault) { failing = failing || p.rand.Float64() < f.Share })
 	p.during("cancels", now, k, centre, func(f *Fault) {
 		if p.rand.Float64() < f.Share {
-			j.leavesAfter = time.Duration(p.rand.Float64() * float64(k.queue().Objective(chainOf(works))))
+			j.leavesAfter = time.Duration(p.rand.Float64() * float64(k.queue.Objective(chainOf(works))))
 		}
 	})
 	errors := rand.New(rand.NewPCG(uint64(p.count), p.rand.Uint64()))
@@ -234,7 +236,7 @@
 func (p *play) drawSteps(j *jobSpec, k *kind) [][]time.Duration {
 	var works [][]time.Duration
 	base := p.draw(k.WorkMillis)
-	declared := base * p.draw(Spread{Mean: 1, Sigma: k.EstimateOff}) * max(k.EstimateBias, minBias(k.EstimateBias))
+	declared := base * p.draw(Spread{Mean: 1, Sigma: k.EstimateOff}) * orOne(k.EstimateBias)
 	for s := range max(k.Steps, 1) {
 		width := max(int(math.Round(p.draw(k.Width))), 1)
 		step := batch.Step{Count: width, Estimate: millis(declared)}
@@ -256,12 +258,12 @@
 // cpuGrain is the grain of processor room that callers ask for.
 const cpuGrain = 50
 
-// minBias stands in for a bias that is not given.
-func minBias(bias float64) float64 {
-	if bias == 0 {
+// orOne stands in for a factor that is not given.
+func orOne(factor float64) float64 {
+	if factor == 0 {
 		return 1
 	}
-	return bias
+	return factor
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -293,7 +295,7 @@
 			total += work.Seconds() * float64(j.steps[s].Need.CPU) / milliCores
 		}
 	}
-	size := min(fixedWorth+(1-fixedWorth)*total/k.mean, mostWorth)
+	size := min(fixedWorth+(1-fixedWorth)*total/k.meanWork, mostWorth)
 	return &record{
 		kind: k.index, centre: centre, sent: warmUp + now, objective: j.queue.Objective(chainOf(works)),
 		worth: k.Worth * size, late: k.LateWorth * size, work: total,
--- a/lab/emulator/summary.go
+++ b/lab/emulator/summary.go
@@ -157,7 +157,7 @@
 	return least
 }
 
-// worstWindows is how many of the worst windows count.
+// countedWindows is how many of the worst windows count.
 const countedWindows = 2
 
 func worstWindows(list []Windowed) float64 {
