--- a/core/batch/defer.go
+++ b/core/batch/defer.go
@@ -99,7 +99,8 @@
 // has it given up before.
 const hopelessFrom = 1.5
 
-// work is the processor time that a job's tasks are expected to take, in seconds.
+// work is the processor time that a job's open tasks are expected to take, in
+// thousandths of a core-second.
 func (j *job) work() float64 {
 	total := 0.0
 	for i := range j.steps {
@@ -109,7 +110,8 @@
 	return total
 }
 
-// serviceRoom is the processor room of all usable workers of a service.
+// serviceRoom is the processor room of all usable workers of a service, in
+// thousandths of a core.
 func (c *Core) serviceRoom(service string) float64 {
 	total := 0.0
 	for _, a := range c.candidates(service) {
