Walk of the deferred jobs: work counted once, no taking back; a field's comment, a doubled line

Found in reading the change again: the walk added a job's work and took it away again, and worked it out twice; a comment named a field that is not there; the emulator marked an agent dead before the call that does so.

--- a/core/batch/defer.go
+++ b/core/batch/defer.go
@@ -139,15 +139,15 @@
 	misses := 0
 	ahead := 0.0
 	for _, j := range list {
-		ahead += j.work()
-		switch {
-		case left[j] <= 0 || c.hopeless(j, ahead, left[j]):
-			ahead -= j.work()
+		work := j.work()
+		if left[j] <= 0 || c.hopeless(j, ahead+work, left[j]) {
 			c.undefer(j)
 			c.yields.of(c.now, j.queue).lost++
 			c.giveUp(j, errkind.Overloaded, "no room while of use")
-		case misses >= deferMisses:
-		case !c.startDeferred(j):
+			continue
+		}
+		ahead += work
+		if misses < deferMisses && !c.startDeferred(j) {
 			misses++
 		}
 	}
@@ -193,7 +193,7 @@
 
 // drainage measures the work of deferred jobs that is started, a second.
 type drainage struct {
-	// took is a decaying sum of work as of the time at.
+	// sum is a decaying sum of work as of the time at.
 	sum float64
 	at  time.Time
 }
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -17,7 +17,7 @@
 
 // Mechanisms of entries.
 const (
-	// Yield has queues of low priority give way while more urgent jobs are refused.
+	// Yield has queues of low priority give way while more urgent jobs are lost.
 	Yield Mechanism = "yield"
 	// LearnedWaits corrects predicted waits by measured ones.
 	LearnedWaits Mechanism = "learned-waits"
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -122,7 +122,6 @@
 	}
 	for i, a := range w.agents {
 		boot := f.For.Std() + w.layout.bootAgent + w.bootSpread()
-		a.dead = true
 		a.kill(boot)
 		w.workers[i].crash()
 		w.after(boot, func() { p.rebirth(w.workers[i]) })
