core/runner: news of the load are bounded in number, and worked out once a flush

Ruled out: sending less often by a fixed pause (a small deployment decides by loads of some milliseconds; it keeps them). Change: messages that tell nothing but a new load are bounded to 160 a second and agent over all links, at least one a beat and link; ends, progress and beats carry the load anyway. What all links are told alike is worked out once.

--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -84,8 +84,10 @@
 	// seen counts the starts received.
 	seen uint64
 	// out collects the next message.
-	out      runs.ToEntry
-	dirty    bool
+	out   runs.ToEntry
+	dirty bool
+	// outdated is set while the load told last is not the present one.
+	outdated bool
 	lastSent time.Time
 }
 
@@ -108,8 +110,10 @@
 	pace        pace
 	draining    bool
 	loadChanged bool
-	now         time.Time
-	out         Output
+	// told is the load of the present flush; nil until a link needs it.
+	told *runs.Load
+	now  time.Time
+	out  Output
 }
 
 // New returns a core without a worker.
@@ -124,6 +128,7 @@
 func (c *Core) Flush(now time.Time) Output {
 	c.now = now
 	c.startWaiting()
+	c.told = nil
 	for l := range c.links.Values() {
 		c.flushLink(l)
 	}
@@ -134,12 +139,8 @@
 }
 
 func (c *Core) flushLink(l *link) {
-	quiet := c.now.Sub(l.lastSent)
-	beat := c.settings.IdleBeat
-	if c.owns(l.entry.Incarnation) {
-		beat = c.settings.Beat
-	}
-	if !l.dirty && !c.loadChanged && quiet < beat {
+	l.outdated = l.outdated || c.loadChanged
+	if !c.mustTell(l) {
 		return
 	}
 	msg := l.out
@@ -149,9 +150,46 @@
 	c.out.Sends = append(c.out.Sends, Send{Link: l.id, Msg: &msg})
 	l.out = runs.ToEntry{}
 	l.dirty = false
+	l.outdated = false
 	l.lastSent = c.now
 }
 
+// mustTell reports whether a message to a link is due.
+func (c *Core) mustTell(l *link) bool {
+	quiet := c.now.Sub(l.lastSent)
+	switch {
+	case l.dirty:
+		return true
+	case l.outdated && quiet >= c.newsPause():
+		return true
+	case quiet < c.settings.Beat:
+		return false
+	}
+	return quiet >= c.settings.IdleBeat || c.owns(l.entry.Incarnation)
+}
+
+// newsPerSecond bounds the messages a second that tell nothing but a new load, to all
+// entries together. Each start and end changes the load: told at once on each link it
+// is a message for each task and entry, which saturated the processors of 55 entries
+// with 240 agents on a calm day. Ends, progress and beats carry the load anyway.
+const newsPerSecond = 160
+
+// newsPause is the shortest silence on a link before news of the load alone. It grows
+// with the number of links, up to a beat.
+func (c *Core) newsPause() time.Duration {
+	return min(time.Duration(c.links.Len())*time.Second/newsPerSecond, c.settings.Beat)
+}
+
+// HasNews reports whether an entry has not been told the present load.
+func (c *Core) HasNews() bool {
+	for l := range c.links.Values() {
+		if l.outdated {
+			return true
+		}
+	}
+	return false
+}
+
 // LinkUp opens a link after the entry's hello.
 func (c *Core) LinkUp(now time.Time, id LinkID, entry runs.Entry) {
 	c.now = now
--- a/core/runner/pace.go
+++ b/core/runner/pace.go
@@ -113,11 +113,18 @@
 // freeingsLimit bounds the expected ends that a load reports.
 const freeingsLimit = 12
 
+// load returns the load for a link. What all links are told alike is worked out once a
+// flush.
 func (c *Core) load(l *link) *runs.Load {
-	return &runs.Load{
-		Free: c.roomLeft(), Waiting: c.waitingCPU(), Freeings: c.freeings(), Slowness: c.slowness(),
-		FailStreak: c.pace.failStreak, Seen: l.seen,
+	if c.told == nil {
+		c.told = &runs.Load{
+			Free: c.roomLeft(), Waiting: c.waitingCPU(), Freeings: c.freeings(), Slowness: c.slowness(),
+			FailStreak: c.pace.failStreak,
+		}
 	}
+	load := *c.told
+	load.Seen = l.seen
+	return &load
 }
 
 // waitingCPU returns what waiting runs ask for by their slack.
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -239,7 +239,7 @@
 }
 
 func (a *Agent) tick() time.Duration {
-	if a.core.Idle() {
+	if a.core.Idle() && !a.core.HasNews() {
 		return tickIdle
 	}
 	return tickBusy
