Entries exchange with few neighbours, agents work with 16 entries

Cause: each pair of entries had up to two exchanges, which told all known entries every 0.4 s: messages grow with the square, bytes with the cube of the entries, while nothing changes. Each agent had a link to each entry. Ways weighed: all entries with damped news; a subset chosen by rendezvous; probes without standing links (a round trip more before each task, and no lease to lean on); small entries that hand jobs on (another hop for all they take). Change: core/membership keeps an entry's view from records with a serial number that only the named entry raises; neighbours are those 1, 2, 4, ... places on after it on the ring of hashed addresses; a message carries a digest and the records that changed. core/subset chooses 16 entries for an agent, ten of its own data centre first; another one stands in for one out of reach; a link that is not wanted is released before it is closed, and closed once nothing of its entry runs. While kept ends find no entry, the agent works with all. The room an entry counts on is shared by the entries that each agent says it works with.

--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -63,6 +63,6 @@
 	decisions.Agent = file.Name
 	decisions.OwnerLease, decisions.WorkerLease = file.OwnerLease(), file.WorkerLease()
 	return runner.Settings{
-		Name: file.Name, Seeds: file.EntrySeeds(), DrainTimeout: file.Grace() - drainReserve, Core: decisions,
+		Name: file.Name, DataCentre: file.DataCentre, Seeds: file.EntrySeeds(), DrainTimeout: file.Grace() - drainReserve, Core: decisions,
 	}
 }
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -46,9 +46,12 @@
 
 // usable reports whether an agent may be given runs.
 func (a *agent) usable(now time.Time, silentAfter time.Duration) bool {
-	return a.greeted && a.worker.ID != "" && !a.worker.Draining && now.Sub(a.heardAt) < silentAfter
+	return a.greeted && a.worker.ID != "" && !a.worker.Draining && !a.worker.Released && now.Sub(a.heardAt) < silentAfter
 }
 
+// sharers is the number of entries that an agent works with, this one included.
+func (a *agent) sharers() int { return max(a.load.Sharers, 1) }
+
 // free returns the room that is probably left at an agent's worker for a run with
 // some slack: without the runs at the worker, those on their way, and those that
 // wait and go first.
@@ -91,7 +94,11 @@
 	if old := c.lost.Get(a.worker.Agent); old == nil || old.overAt.Before(over) {
 		c.lost.Put(a.worker.Agent, &lostAgent{overAt: over})
 	}
-	c.note(Note{Event: "agent lost", Agent: a.worker.Agent, Worker: a.worker.ID, Reason: "link closed", Age: now.Sub(a.heardAt)})
+	reason := "link closed"
+	if a.worker.Released {
+		reason = "works with other entries"
+	}
+	c.note(Note{Event: "agent lost", Agent: a.worker.Agent, Worker: a.worker.ID, Reason: reason, Age: now.Sub(a.heardAt)})
 }
 
 // Receive handles a message of an agent.
@@ -173,7 +180,7 @@
 // is something new. An agent that has no usable worker names none.
 func (c *Core) noteWorker(a *agent, told *runs.Worker) {
 	was, is := &a.worker, told
-	if was.Agent != "" && was.ID == is.ID && was.Draining == is.Draining {
+	if was.Agent != "" && was.ID == is.ID && was.Draining == is.Draining && was.Released == is.Released {
 		return
 	}
 	n := Note{Event: "worker", Agent: is.Agent, Worker: is.ID, Reason: "usable"}
@@ -182,6 +189,8 @@
 		n.Reason = "none yet"
 	case is.ID == "":
 		n.Worker, n.Reason = was.ID, "gone, out of reach or not looked at"
+	case is.Released:
+		n.Reason = "works with other entries"
 	case is.Draining:
 		n.Reason = "draining"
 	case was.ID != "" && was.ID != is.ID:
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -165,8 +165,6 @@
 	deferredAt time.Time
 	drain      drainage
 	rand       *rand.Rand
-	// entries is the number of entries that are alive, this one included.
-	entries int
 	// typical is the median slowness of each service's workers.
 	typical   map[string]float64
 	settledAt time.Time
@@ -190,7 +188,7 @@
 func New(s Settings) *Core {
 	return &Core{
 		settings:  s,
-		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), learn: newEstimates(), yields: newYielding(), rand: rand.New(rand.NewPCG(s.Seed, 0)), entries: 1, typical: make(map[string]float64),
+		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), learn: newEstimates(), yields: newYielding(), rand: rand.New(rand.NewPCG(s.Seed, 0)), typical: make(map[string]float64),
 	}
 }
 
@@ -247,9 +245,6 @@
 	c.moveSlow()
 }
 
-// Peers tells how many entries are alive, this one included.
-func (c *Core) Peers(entries int) { c.entries = max(entries, 1) }
-
 // Jobs returns the number of jobs that are not answered yet.
 func (c *Core) Jobs() int { return len(c.byRequest) }
 
--- a/core/batch/defer.go
+++ b/core/batch/defer.go
@@ -86,7 +86,7 @@
 
 // drainTime is the expected time until an amount of deferred work has begun.
 func (c *Core) drainTime(service string, work float64) time.Duration {
-	rate := c.drain.rate(c.now, c.serviceRoom(service)/float64(c.entries))
+	rate := c.drain.rate(c.now, c.shareOfRoom(service))
 	return time.Duration(work / rate * float64(time.Second))
 }
 
@@ -110,12 +110,12 @@
 	return total
 }
 
-// serviceRoom is the processor room of all usable workers of a service, in
-// thousandths of a core.
-func (c *Core) serviceRoom(service string) float64 {
+// shareOfRoom is this entry's part of the processor room of a service's usable workers,
+// in thousandths of a core. Each worker's room counts for all entries that it works with.
+func (c *Core) shareOfRoom(service string) float64 {
 	total := 0.0
 	for _, a := range c.candidates(service) {
-		total += float64(a.worker.Capacity.CPU)
+		total += float64(a.worker.Capacity.CPU) / float64(a.sharers())
 	}
 	return total
 }
--- a/core/batch/sound.go
+++ b/core/batch/sound.go
@@ -68,7 +68,7 @@
 	if !c.unsound(a) || !c.settings.Policy.Has(policy.Probing) {
 		return false
 	}
-	return c.now.Sub(a.probedAt) < time.Duration(c.entries)*probeEvery || tr.used != (room.Room{})
+	return c.now.Sub(a.probedAt) < time.Duration(a.sharers())*probeEvery || tr.used != (room.Room{})
 }
 
 func (c *Core) failing(worker string) bool {
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -62,6 +62,8 @@
 type Output struct {
 	Sends  []Send
 	Orders []Order
+	// Closes are released links that nothing needs any more.
+	Closes []LinkID
 	// Notes are the decisions for the log.
 	Notes []Note
 }
@@ -89,6 +91,8 @@
 	// outdated is set while the load told last is not the present one.
 	outdated bool
 	lastSent time.Time
+	// releasedAt is when the link was given up; zero while it is in use.
+	releasedAt time.Time
 }
 
 // Core is the state of one agent.
@@ -271,6 +275,7 @@
 	c.forgetVoid()
 	c.askAboutHeld()
 	c.forgetLeases()
+	c.closeReleased()
 }
 
 // expireOwners ends the runs of entries whose lease is over.
--- a/core/runner/pace.go
+++ b/core/runner/pace.go
@@ -119,7 +119,7 @@
 	if c.told == nil {
 		c.told = &runs.Load{
 			Free: c.roomLeft(), Waiting: c.waitingCPU(), Freeings: c.freeings(), Slowness: c.slowness(),
-			FailStreak: c.pace.failStreak,
+			FailStreak: c.pace.failStreak, Sharers: c.sharers(),
 		}
 	}
 	load := *c.told
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -83,7 +83,7 @@
 		durable: s.Durable, startBy: c.now.Add(s.Slack), notAfter: time.Unix(0, sentAt).Add(s.Patience),
 	}
 	c.loadChanged = true
-	if reason := c.refusal(r); reason != runs.NoReason {
+	if reason := c.refusal(l, r); reason != runs.NoReason {
 		c.finish(r, runs.End{Key: r.key, How: runs.Refused, Reason: reason})
 		return
 	}
@@ -96,9 +96,9 @@
 }
 
 // refusal returns why a run cannot be taken.
-func (c *Core) refusal(r *run) runs.Reason {
+func (c *Core) refusal(l *link, r *run) runs.Reason {
 	switch {
-	case c.draining || c.worker.info.Draining:
+	case c.draining || c.worker.info.Draining || l.released():
 		return runs.Draining
 	case !c.worker.synced || c.outOfUse():
 		return runs.NoWorker
--- /dev/null
+++ b/core/subset/subset.go
@@ -0,0 +1,99 @@
+// Package subset chooses the entries that an agent keeps links to, and the entries
+// that an entry exchanges its view of the others with.
+//
+// The load it answers: a fleet in which every agent has a link to every entry has
+// as many links as the product of both, each with its own beats, news of load and
+// buffers. At 55 entries and 240 agents that is 13,200 links, and an entry's whole
+// processor on a calm day. With a bounded subset the cost of a node does not grow with
+// the fleet.
+//
+// All choices are made by rendezvous hashing over the entries that are known, without
+// any agreement: an entry that comes or goes changes the choice of few agents. A fleet
+// with fewer entries than the limit is linked completely.
+//
+// The package is pure: the same input gives the same choice.
+package subset
+
+import (
+	"math/bits"
+	"slices"
+	"sort"
+
+	"github.com/zeebo/xxh3"
+
+	"peridotpick.example/wire/runs"
+)
+
+// Limits of an agent's links.
+const (
+	// Total is the number of entries that an agent has links to. Entries share each
+	// agent with that many others, so that the room which one entry leaves is found by
+	// others: with 16 of 55 entries each entry sees some 70 of 240 agents.
+	Total = 16
+	// Nearby is how many of them may be in the agent's own data centre, whose entries
+	// place most work here: no bytes cross a border then. The rest is left to other
+	// data centres, so that one with a burst of load reaches room elsewhere.
+	Nearby = 10
+)
+
+// Choose returns the entries that an agent in a data centre works with, out of those
+// known, by rank.
+func Choose(agent, dataCentre string, known []runs.Entry) []runs.Entry {
+	if len(known) <= Total {
+		return known
+	}
+	ranked := rank(agent, known)
+	var near, far []runs.Entry
+	for _, e := range ranked {
+		if e.DataCentre == dataCentre {
+			near = append(near, e)
+		} else {
+			far = append(far, e)
+		}
+	}
+	nearby := min(len(near), Nearby)
+	remote := min(len(far), Total-nearby)
+	nearby = min(len(near), Total-remote) // all others together may be fewer than their share
+	return append(slices.Clone(near[:nearby]), far[:remote]...)
+}
+
+// rank orders entries by their rendezvous score for an agent, the highest first.
+func rank(agent string, known []runs.Entry) []runs.Entry {
+	type scored struct {
+		entry runs.Entry
+		score uint64
+	}
+	list := make([]scored, 0, len(known))
+	for _, e := range known {
+		list = append(list, scored{e, score(agent, e.Address)})
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].score > list[k].score })
+	ranked := make([]runs.Entry, 0, len(list))
+	for _, s := range list {
+		ranked = append(ranked, s.entry)
+	}
+	return ranked
+}
+
+func score(agent, address string) uint64 { return xxh3.HashString(agent + "\x00" + address) }
+
+// Neighbours returns the addresses that an entry opens exchanges with, out of those
+// known, itself left out: on the ring of all hashed addresses those 1, 2, 4, ... places
+// after it. Each entry has O(log n) of them, any two are O(log n) exchanges apart, and
+// a ring with a few gaps stays connected.
+func Neighbours(self string, known []string) []string {
+	ring := append(slices.Clone(known), self)
+	sort.Slice(ring, func(i, k int) bool { return ringBefore(ring[i], ring[k]) })
+	ring = slices.Compact(ring)
+	at := slices.Index(ring, self)
+	chosen := make([]string, 0, bits.Len(uint(len(ring))))
+	for step := 1; step < len(ring); step *= 2 {
+		chosen = append(chosen, ring[(at+step)%len(ring)])
+	}
+	return chosen
+}
+
+func ringBefore(a, b string) bool {
+	x, y := xxh3.HashString(a), xxh3.HashString(b)
+	return x < y || x == y && a < b
+}
--- /dev/null
+++ b/core/subset/subset_test.go
@@ -0,0 +1,132 @@
+package subset
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotpick.example/wire/runs"
+)
+
+// fleet returns entries spread evenly over data centres.
+func fleet(entries, centres int) []runs.Entry {
+	list := make([]runs.Entry, 0, entries)
+	for i := range entries {
+		list = append(list, runs.Entry{Address: fmt.Sprintf("10.0.%d.%d:7720", i%centres, i), Incarnation: uint64(i + 1), DataCentre: fmt.Sprint("dc", i%centres)})
+	}
+	return list
+}
+
+func agentName(i int) string { return fmt.Sprint("agent-", i) }
+
+func TestSmallFleetsAreLinkedCompletely(t *testing.T) {
+	is := is.New(t)
+	for n := range Total + 1 {
+		is.Equal(len(Choose("a", "dc0", fleet(n, 4))), n)
+	}
+}
+
+func TestOwnDataCentreComesFirstAndOthersKeepTheirPart(t *testing.T) {
+	is := is.New(t)
+	for i := range 40 {
+		near := 0
+		chosen := Choose(agentName(i), "dc1", fleet(120, 6))
+		is.Equal(len(chosen), Total)
+		for _, e := range chosen {
+			if e.DataCentre == "dc1" {
+				near++
+			}
+		}
+		is.Equal(near, Nearby)
+	}
+	is.Equal(len(Choose("a", "dc0", fleet(55, 1))), Total) // no other data centre
+	is.Equal(len(Choose("a", "elsewhere", fleet(55, 5))), Total)
+}
+
+// TestEveryEntryHasAgents: no entry is left without, and none has far more than its part.
+func TestEveryEntryHasAgents(t *testing.T) {
+	is := is.New(t)
+	known := fleet(55, 6)
+	links := make(map[string]int)
+	for i := range 240 {
+		for _, e := range Choose(agentName(i), fmt.Sprint("dc", i%6), known) {
+			links[e.Address]++
+		}
+	}
+	for _, e := range known {
+		is.True(links[e.Address] >= 45) // 240 * 16 / 55 = 70 on average
+		is.True(links[e.Address] <= 100)
+	}
+}
+
+// TestLinksOfAnEntryDoNotGrowWithTheFleet holds agents for each entry the same.
+func TestLinksOfAnEntryDoNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{18, 55, 200, 600} {
+		known := fleet(n, 6)
+		total := 0
+		for i := range 4 * n {
+			total += len(Choose(agentName(i), fmt.Sprint("dc", i%6), known))
+		}
+		is.Equal(total/n, 4*Total)
+	}
+}
+
+// TestOneEntryGoneChangesFewChoices: only agents that had it choose another one.
+func TestOneEntryGoneChangesFewChoices(t *testing.T) {
+	is := is.New(t)
+	known := fleet(55, 6)
+	for i := range 240 {
+		centre := fmt.Sprint("dc", i%6)
+		before := make(map[string]bool)
+		for _, e := range Choose(agentName(i), centre, known) {
+			before[e.Address] = true
+		}
+		fresh := 0
+		for _, e := range Choose(agentName(i), centre, known[1:]) {
+			if !before[e.Address] {
+				fresh++
+			}
+		}
+		if before[known[0].Address] {
+			is.Equal(fresh, 1)
+		} else {
+			is.Equal(fresh, 0)
+		}
+	}
+}
+
+func TestNeighboursAreFewAndReachAll(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{1, 2, 3, 4, 14, 55, 200} {
+		var all []string
+		for _, e := range fleet(n, 6) {
+			all = append(all, e.Address)
+		}
+		is.True(len(Neighbours(all[0], all)) <= 8)
+		reached := map[string]bool{all[0]: true}
+		next := []string{all[0]}
+		rounds := 0
+		for ; len(next) > 0 && len(reached) < n; rounds++ {
+			var further []string
+			for _, address := range next {
+				for _, other := range Neighbours(address, all) {
+					if !reached[other] {
+						reached[other] = true
+						further = append(further, other)
+					}
+				}
+			}
+			next = further
+		}
+		is.Equal(len(reached), n)
+		is.True(rounds <= 8)
+	}
+}
+
+func TestNeighboursOfOneAlone(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(Neighbours("a", nil)), 0)
+	is.Equal(Neighbours("a", []string{"a", "b", "b"}), []string{"b"})
+}
--- a/lab/emulator/entry.go
+++ b/lab/emulator/entry.go
@@ -19,10 +19,8 @@
 	self    runs.Entry
 	links   ordered.Map[batch.LinkID, *simLink]
 	open    ordered.Map[batch.RequestID, *request]
-	// peers is the number of entries that the core was told of.
-	peers  int
-	nextID uint64
-	ledger *ledger.Core
+	nextID  uint64
+	ledger  *ledger.Core
 	// asks are callers that wait for the answer about a durable job.
 	asks map[ledger.RequestID]func(errkind.Kind)
 	// cut entries reach neither the store nor other entries.
@@ -39,7 +37,6 @@
 	l := e.w.layout
 	e.life++
 	e.dead = false
-	e.peers = 0
 	e.w.nextLife++
 	e.self = runs.Entry{Address: e.address, Incarnation: e.w.nextLife}
 	e.links = ordered.Map[batch.LinkID, *simLink]{}
@@ -57,7 +54,9 @@
 	e.ticks()
 	e.follow(0, true)
 	for _, a := range e.w.agents {
-		e.w.connect(a, e)
+		if a.entries[e.address] {
+			e.w.connect(a, e)
+		}
 	}
 }
 
--- a/lab/emulator/layout.go
+++ b/lab/emulator/layout.go
@@ -1,10 +1,13 @@
 package emulator
 
 import (
+	"fmt"
 	"time"
 
 	"peridotpick.example/common/room"
 	"peridotpick.example/core/policy"
+	"peridotpick.example/core/subset"
+	"peridotpick.example/wire/runs"
 )
 
 // layout is what a world is built from: instances, distances and times.
@@ -52,6 +55,29 @@
 	linkRetry = 50 * time.Millisecond
 )
 
+// fleet returns all entries, by what agents know of them.
+func (l *layout) fleet() []runs.Entry {
+	var list []runs.Entry
+	for _, c := range l.centres {
+		for range c.entries {
+			list = append(list, runs.Entry{Address: entryAddress(len(list)), DataCentre: c.name})
+		}
+	}
+	return list
+}
+
+func entryAddress(n int) string { return fmt.Sprintf("e%d", n) }
+
+// chosen returns the addresses of the entries that a worker's agent works with. Here
+// it does not turn to others while one of them is away.
+func (l *layout) chosen(k *worker) map[string]bool {
+	chosen := make(map[string]bool)
+	for _, e := range subset.Choose(k.name, k.centre, l.fleet()) {
+		chosen[e.Address] = true
+	}
+	return chosen
+}
+
 // oneWay returns the shortest way between two data centres.
 func (l *layout) oneWay(from, to string) time.Duration {
 	if from == to {
--- a/lab/emulator/processes.go
+++ b/lab/emulator/processes.go
@@ -44,8 +44,10 @@
 // agentProcess is an agent with its shell.
 type agentProcess struct {
 	process
-	core    *runner.Core
-	worker  *worker
+	core   *runner.Core
+	worker *worker
+	// entries are the addresses of the entries that it works with.
+	entries map[string]bool
 	looking bool
 	links   ordered.Map[runner.LinkID, *simLink]
 	// known is what the registry remembers of the worker.
@@ -64,7 +66,7 @@
 }
 
 func newAgentProcess(w *world, k *worker) *agentProcess {
-	a := &agentProcess{process: process{w: w}, worker: k}
+	a := &agentProcess{process: process{w: w}, worker: k, entries: w.layout.chosen(k)}
 	a.start()
 	return a
 }
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -167,10 +167,6 @@
 		}
 	}
 	e.ledger.Peers(e.w.now, list)
-	if n := len(list) + 1; n != e.peers {
-		e.peers = n
-		e.core.Peers(n)
-	}
 	e.ledger.Tick(e.w.now)
 }
 
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -77,7 +77,7 @@
 	}
 	for _, c := range l.centres {
 		for range c.entries {
-			w.entries = append(w.entries, newEntryProcess(w, fmt.Sprintf("e%d", len(w.entries)), c.name))
+			w.entries = append(w.entries, newEntryProcess(w, entryAddress(len(w.entries)), c.name))
 		}
 	}
 	return w
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -182,7 +182,7 @@
 func (k *keeper) tick(now time.Time) {
 	k.ledger.Peers(now, k.entry.peers.heardLately())
 	k.ledger.Tick(now)
-	k.budget.SetLimit(rate.Limit(k.total / float64(len(k.entry.peers.alive()))))
+	k.budget.SetLimit(rate.Limit(k.total / float64(k.entry.peers.count())))
 }
 
 // writeBurst is the number of transactions that may leave at once after a calm.
--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -2,72 +2,99 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
-	core "peridotpick.example/core/batch"
+	"peridotpick.example/core/membership"
+	"peridotpick.example/core/subset"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
 
-// Times of the exchange between entries.
+// Times of finding other entries.
 const (
-	// gossipEvery is the longest silence between two entries, silentAfter the
-	// silence after which a stream is closed and opened anew.
-	gossipEvery = 400 * time.Millisecond
-	// behindEvery is the pause while the other side has a newer configuration.
-	behindEvery = 100 * time.Millisecond
-	silentAfter = 1500 * time.Millisecond
 	// registerRetry is the pause after a failed attempt to register.
 	registerRetry = time.Second
 	// registryEvery is how often the registry is read for entries that nobody
 	// who is known has met.
 	registryEvery   = 15 * time.Second
 	registryTimeout = time.Second
+	// peersTick is how often lost neighbours and needless exchanges are judged.
+	peersTick = 250 * time.Millisecond
+	// chooseEach is the number of such ticks of which one chooses the neighbours anew
+	// though the view has not changed.
+	chooseEach = 8
+	// goneAfter is how long a neighbour may be without an exchange before it is said to
+	// be gone: some attempts to connect.
+	goneAfter = 500 * time.Millisecond
+	// settleAfter is the age from which an exchange with an entry that is no neighbour
+	// any more is closed: in that time a new entry hears of the others through it.
+	settleAfter = 3 * time.Second
 )
 
-// peers knows the other entries. Each pair exchanges what entries they know, and
-// the newest configuration, so that an entry which the store turns away still
+// peers knows the other entries: it exchanges with its neighbours which entries are
+// alive, and the newest configuration, so that an entry which the store turns away still
 // hears of both.
 type peers struct {
 	entry *Entry
 	mu    sync.Mutex
-	// dialed are the addresses that a goroutine works for.
-	dialed map[string]bool
-	// met are the entries that were heard of, with the time they last spoke.
-	met map[string]met
-	// wake holds a signal for each open stream.
-	wake   map[chan struct{}]bool
-	asking asking
+	view  *membership.View
+	// candidates are addresses from the settings and the registry.
+	candidates map[string]bool
+	// contacts are the addresses that a goroutine works for.
+	contacts map[string]*contact
+	// streams are the open exchanges, direct the entries that there was one with, with
+	// the time of the last word.
+	streams map[*exchange]bool
+	direct  map[string]time.Time
+	asking  asking
 }
 
-type met struct {
-	entry runs.Entry
-	at    time.Time
+// contact is an address that an exchange is kept with.
+type contact struct {
+	since time.Time
+	// leaving is set once the entry is no neighbour any more.
+	leaving bool
 }
 
 func newPeers(e *Entry) *peers {
-	return &peers{entry: e, dialed: make(map[string]bool), met: make(map[string]met), wake: make(map[chan struct{}]bool)}
+	return &peers{
+		entry: e, view: membership.New(e.self), candidates: make(map[string]bool), contacts: make(map[string]*contact),
+		streams: make(map[*exchange]bool), direct: make(map[string]time.Time),
+	}
 }
 
-// run registers the entry and finds the others.
+// run registers the entry, finds the others and judges who is gone.
 func (p *peers) run(ctx context.Context) error {
 	for _, address := range p.entry.settings.Seeds {
 		p.dial(ctx, address)
 	}
 	go p.register(ctx)
-	ticker := time.NewTicker(registryEvery)
+	go p.followRegistry(ctx)
+	ticker := time.NewTicker(peersTick)
 	defer ticker.Stop()
-	for {
-		p.readRegistry(ctx)
+	var chosenFor uint64
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
+		p.judgeLost()
+		if digest := p.digest(); digest != chosenFor || n%chooseEach == 0 {
+			chosenFor = digest
+			p.choose(ctx)
+		}
 	}
 }
 
+func (p *peers) digest() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Digest()
+}
+
 func (p *peers) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		asking, cancel := context.WithTimeout(ctx, registryTimeout)
@@ -84,6 +111,19 @@
 	}
 }
 
+func (p *peers) followRegistry(ctx context.Context) {
+	ticker := time.NewTicker(registryEvery)
+	defer ticker.Stop()
+	for {
+		p.readRegistry(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func (p *peers) readRegistry(ctx context.Context) {
 	asking, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
@@ -92,32 +132,95 @@
 		p.entry.log.Warn().Err(err).Msg("entry: the registry of entries does not answer")
 		return
 	}
+	p.mu.Lock()
 	for _, e := range entries {
-		p.dial(ctx, e.Address)
+		p.candidates[e.Address] = true
+	}
+	p.mu.Unlock()
+	p.choose(ctx)
+}
+
+// choose opens exchanges with the neighbours, and closes those with others.
+func (p *peers) choose(ctx context.Context) {
+	wanted := p.neighbours()
+	for _, address := range wanted {
+		p.dial(ctx, address)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	alive := p.view.Addresses()
+	for address, c := range p.contacts {
+		if !slices.Contains(wanted, address) && slices.Contains(alive, address) && time.Since(c.since) > settleAfter {
+			p.leave(address, c)
+		}
 	}
 }
 
-// dial starts an exchange with an entry unless there is one.
+// leave closes the exchange with an entry that is alive, and tells it so: else each
+// would say of the other that it is gone.
+func (p *peers) leave(address string, c *contact) {
+	c.leaving = true
+	delete(p.direct, address)
+	for x := range p.streams {
+		if x.address == address && x.dialed {
+			x.closing = true
+			x.signal()
+		}
+	}
+}
+
+// neighbours returns the addresses to exchange with: those that are next among the
+// entries which are alive, and those that would be if all that are registered were.
+func (p *peers) neighbours() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	alive := p.view.Addresses()
+	known := slices.Clone(alive)
+	for address := range p.candidates {
+		known = append(known, address)
+	}
+	self := p.entry.self.Address
+	return append(subset.Neighbours(self, alive), subset.Neighbours(self, known)...)
+}
+
+// dial starts to keep an exchange with an address unless there is one.
 func (p *peers) dial(ctx context.Context, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if address == p.entry.self.Address || p.dialed[address] || ctx.Err() != nil {
+	if address == p.entry.self.Address || p.contacts[address] != nil || ctx.Err() != nil {
 		return
 	}
-	p.dialed[address] = true
-	go p.keep(ctx, address)
+	c := &contact{since: time.Now()}
+	p.contacts[address] = c
+	go p.keep(ctx, address, c)
 }
 
-// keep exchanges with one entry until that is out of reach for long.
-func (p *peers) keep(ctx context.Context, address string) {
-	transport.Keep(ctx, func(ctx context.Context) bool { return p.exchangeWith(ctx, address) })
+// keep exchanges with one entry until that is out of reach for long, or is no
+// neighbour any more.
+func (p *peers) keep(ctx context.Context, address string, c *contact) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	transport.Keep(ctx, func(ctx context.Context) bool {
+		if p.left(c) {
+			stop()
+			return false
+		}
+		return p.exchangeWith(ctx, address)
+	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.dialed, address)
-	delete(p.met, address)
+	delete(p.contacts, address)
+	delete(p.candidates, address)
 }
 
 func (p *peers) exchangeWith(ctx context.Context, address string) bool {
+	if p.exchanging(address) {
+		select { // the other side has opened one
+		case <-time.After(gossipEvery):
+		case <-ctx.Done():
+		}
+		return true
+	}
 	dialing, cancel := context.WithTimeout(ctx, transport.DialTimeout)
 	defer cancel()
 	conn, err := p.entry.deps.Transport.Dial(dialing, address)
@@ -131,173 +234,120 @@
 	if err != nil {
 		return false
 	}
-	return p.exchange(streamCtx, stop, stream)
+	return p.exchange(streamCtx, stop, stream, true)
 }
 
-// Gossip implements runs.Server.
-func (e *Entry) Gossip(stream runs.GossipEnd) error {
-	ctx, stop := context.WithCancel(stream.Context())
-	defer stop()
-	e.peers.exchange(ctx, func() { stop(); _ = stream.Close() }, stream)
-	return nil
+func (p *peers) left(c *contact) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.leaving
 }
 
-// exchange speaks on a stream until it breaks or goes silent. It reports whether
-// the other side was heard.
-func (p *peers) exchange(ctx context.Context, stop func(), stream runs.GossipEnd) bool {
-	wake := make(chan struct{}, 1)
-	p.mu.Lock()
-	p.wake[wake] = true
-	p.mu.Unlock()
-	theirs := make(chan heard, 1)
-	go func() {
-		defer stop()
-		p.speak(ctx, stream, wake, theirs)
-	}()
-	reached := p.listen(stop, stream, theirs)
-	stop()
+// exchanging reports whether an exchange with an entry is open.
+func (p *peers) exchanging(address string) bool {
 	p.mu.Lock()
-	delete(p.wake, wake)
-	p.mu.Unlock()
-	return reached
+	defer p.mu.Unlock()
+	return p.open(address)
 }
 
-// heard is what the other side of a stream has said last.
-type heard struct {
-	version uint64
-	want    bool
+func (p *peers) open(address string) bool {
+	for x := range p.streams {
+		if x.address == address {
+			return true
+		}
+	}
+	return false
 }
 
-// speak sends what this entry knows: at once after a change, else now and then.
-// The configuration goes along if the other side has asked for it.
-func (p *peers) speak(ctx context.Context, stream runs.GossipEnd, wake <-chan struct{}, theirs <-chan heard) {
-	var last heard
-	for {
-		msg := &runs.Gossip{From: p.entry.self, Entries: p.alive(), ConfigVersion: p.entry.configVersion()}
-		msg.Want = p.asking.ask(time.Now(), msg.ConfigVersion, last.version)
-		if doc := p.entry.config.Load(); last.want && doc != nil && last.version < doc.Catalog.Version {
-			msg.Config = doc.Raw
-			last.want = false
-		}
-		if stream.Send(msg) != nil {
-			return
+// judgeLost says of neighbours that were lost that they are gone.
+func (p *peers) judgeLost() {
+	now := time.Now()
+	p.mu.Lock()
+	p.view.Forget(now)
+	var changes []membership.Change
+	for address, last := range p.direct {
+		if p.open(address) {
+			p.direct[address] = now
+			continue
 		}
-		pause := time.NewTimer(p.pause(last.version))
-		for answered := false; !answered; {
-			select {
-			case last = <-theirs:
-				answered = last.want
-				if last.version > msg.ConfigVersion {
-					pause.Reset(behindEvery)
-				}
-			case <-wake:
-				answered = true
-			case <-pause.C:
-				answered = true
-			case <-ctx.Done():
-				pause.Stop()
-				return
-			}
+		if now.Sub(last) > goneAfter {
+			delete(p.direct, address)
+			changes = append(changes, p.view.Lost(now, address))
 		}
-		pause.Stop()
 	}
-}
-
-// pause returns the time until something is said without a reason.
-func (p *peers) pause(theirs uint64) time.Duration {
-	if theirs > p.entry.configVersion() {
-		return behindEvery
+	for _, ch := range changes {
+		p.spread(ch, nil)
+	}
+	p.mu.Unlock()
+	for _, ch := range changes {
+		p.report(ch)
 	}
-	return gossipEvery
 }
 
-func (p *peers) listen(stop func(), stream runs.GossipEnd, theirs chan heard) (reached bool) {
-	silence := time.AfterFunc(silentAfter, stop)
-	defer silence.Stop()
-	for {
-		msg, err := stream.Recv()
-		if err != nil {
-			return reached
-		}
-		reached = true
-		silence.Reset(silentAfter)
-		p.take(msg)
-		now := heard{version: msg.ConfigVersion, want: msg.Want}
-		select {
-		case before := <-theirs:
-			now.want = now.want || before.want
-		default:
+// spread has a change told on all open exchanges but the one that it came from.
+func (p *peers) spread(ch membership.Change, from *exchange) {
+	if len(ch.Records) == 0 {
+		return
+	}
+	for x := range p.streams {
+		if x != from || ch.Records[0].Entry == p.entry.self {
+			x.pending = append(x.pending, ch.Records...)
+			x.signal()
 		}
-		theirs <- now
 	}
 }
 
-func (p *peers) take(msg *runs.Gossip) {
-	p.hear(msg.From)
-	for _, e := range msg.Entries {
-		p.dial(p.entry.work, e.Address)
+// report logs a change, and tells agents of new entries.
+func (p *peers) report(ch membership.Change) {
+	for _, e := range ch.Gone {
+		p.entry.log.Info().Str("peer", e.Address).Uint64("incarnation", e.Incarnation).Msg("entry: peer is gone")
 	}
-	if len(msg.Config) == 0 || msg.ConfigVersion <= p.entry.configVersion() {
-		return
+	for _, e := range ch.Joined {
+		p.entry.log.Info().Str("peer", e.Address).Uint64("incarnation", e.Incarnation).Msg("entry: peer is alive")
 	}
-	doc, err := p.entry.deps.Store.Parse(msg.Config)
-	if err != nil {
-		p.entry.log.Error().Err(err).Str("from", msg.From.Address).Msg("entry: a passed on configuration is not valid")
-		return
+	if len(ch.Joined) > 0 {
+		p.entry.tellAgents(ch.Joined)
 	}
-	p.entry.adopt(doc, msg.From.Address)
 }
 
-// hear notes that an entry is alive. Agents are told of new ones.
-func (p *peers) hear(from runs.Entry) {
+// alive returns this entry and those that are taken to be alive.
+func (p *peers) alive() []runs.Entry {
 	p.mu.Lock()
-	old, known := p.met[from.Address]
-	p.met[from.Address] = met{entry: from, at: time.Now()}
-	p.mu.Unlock()
-	p.dial(p.entry.work, from.Address)
-	if known && old.entry.Incarnation == from.Incarnation {
-		return
-	}
-	p.entry.post(func(c *core.Core, _ time.Time) { c.Peers(len(p.alive())) })
-	p.entry.log.Info().Str("peer", from.Address).Uint64("incarnation", from.Incarnation).Msg("entry: peer is alive")
-	p.entry.tellAgents(p.alive())
+	defer p.mu.Unlock()
+	return p.view.Alive()
 }
 
-// alive returns this entry and those that were heard lately.
-func (p *peers) alive() []runs.Entry {
+// count returns the number of entries that are alive, this one included.
+func (p *peers) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := []runs.Entry{p.entry.self}
-	for _, m := range p.met {
-		if time.Since(m.at) < transport.ForgetAfter {
-			list = append(list, m.entry)
-		}
-	}
-	return list
+	return p.view.Len()
 }
 
-// heardLately returns the other entries that were heard a moment ago.
+// heardLately returns the other entries that are alive now: neighbours that have spoken
+// a moment ago, and those that no neighbour of theirs has lost.
 func (p *peers) heardLately() []runs.Entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	heard := make(map[string]bool)
+	for x := range p.streams {
+		heard[x.address] = heard[x.address] || time.Since(x.heardAt) < gossipEvery
+	}
 	var list []runs.Entry
-	for _, m := range p.met {
-		if time.Since(m.at) < gossipEvery {
-			list = append(list, m.entry)
+	for _, e := range p.view.Alive()[1:] {
+		if _, neighbour := p.direct[e.Address]; !neighbour || heard[e.Address] {
+			list = append(list, e)
 		}
 	}
 	return list
 }
 
-// configChanged has all streams speak.
+// configChanged has all exchanges speak.
 func (p *peers) configChanged() {
 	p.asking.adopted()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for wake := range p.wake {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
+	for x := range p.streams {
+		x.signal()
 	}
 }
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -55,6 +55,8 @@
 	// Name is the agent's instance.
 	Name string
 	Core core.Settings
+	// DataCentre is the agent's own; its entries are worked with first.
+	DataCentre string
 	// Seeds are IP:port of entries; they may be stale.
 	Seeds []string
 	// DrainTimeout bounds the time that runs have to end at SIGTERM.
@@ -230,6 +232,7 @@
 		case <-timer.C:
 			a.core.Tick(boottime.Now())
 			a.publish()
+			a.dir.settle(!a.core.Unsettled())
 		}
 		a.perform(a.core.Flush(boottime.Now()))
 		a.markBusy()
@@ -286,6 +289,11 @@
 			l.enqueue(s.Msg)
 		}
 	}
+	for _, id := range out.Closes {
+		if l := a.links[id]; l != nil {
+			l.stop()
+		}
+	}
 	for i := range out.Notes {
 		a.logNote(&out.Notes[i])
 	}
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -2,51 +2,87 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	core "peridotpick.example/core/runner"
+	"peridotpick.example/core/subset"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
 
-// Times of the search for entries.
+// Times of finding entries.
 const (
 	// lonelyCheck is how often an agent without links looks for entries elsewhere.
 	lonelyCheck = 2 * time.Second
 	// registryTimeout bounds one look into the registry.
 	registryTimeout = time.Second
+	// chooseEvery is how often the choice of entries is looked at anew without a reason.
+	chooseEvery = 250 * time.Millisecond
+	// substituteAfter is how long a chosen entry may be out of reach before another one
+	// is worked with too: longer than a process takes to start again, so that a rolling
+	// restart does not have all agents open links twice.
+	substituteAfter = 1500 * time.Millisecond
 )
 
-// directory keeps one connector for each known entry.
+// directory knows the entries, and keeps links to those that this agent works with.
+//
+// A chosen entry that is out of reach is tried further, and the next one by rank takes
+// its place meanwhile. A link that is not wanted any more is released, and closed once
+// nothing of its entry runs here.
 type directory struct {
 	agent *Agent
 	mu    sync.Mutex
-	known map[string]bool
-	up    int
+	// contacts are the known entries by their address.
+	contacts map[string]*contact
+	// settled is false while ends are kept whose entry is not linked.
+	settled bool
+	wake    chan struct{}
 }
 
-func newDirectory(a *Agent) *directory { return &directory{agent: a, known: make(map[string]bool)} }
+// contact is a known entry.
+type contact struct {
+	// entry has no incarnation while only its address is known.
+	entry runs.Entry
+	// kept is true while a goroutine keeps a link to it, wanted while it shall do so.
+	kept, wanted bool
+	// link is the open link; nil if there is none.
+	link *link
+	// lostAt is when the last link was lost, or when the first one was attempted.
+	lostAt time.Time
+}
+
+func newDirectory(a *Agent) *directory {
+	return &directory{agent: a, contacts: make(map[string]*contact), settled: true, wake: make(chan struct{}, 1)}
+}
 
-// run connects to the seeds and looks for entries while there is no link.
 func (d *directory) run(ctx context.Context) error {
-	ticker := time.NewTicker(lonelyCheck)
+	ticker := time.NewTicker(chooseEvery)
 	defer ticker.Stop()
+	var searched time.Time
 	for {
-		if d.linked() == 0 {
+		if d.linked() == 0 && time.Since(searched) >= lonelyCheck {
+			searched = time.Now()
 			d.search(ctx)
 		}
+		d.choose(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-d.wake:
 		case <-ticker.C:
 		}
 	}
 }
 
 func (d *directory) search(ctx context.Context) {
+	seeds := make([]runs.Entry, 0, len(d.agent.settings.Seeds))
 	for _, address := range d.agent.settings.Seeds {
-		d.connect(ctx, address)
+		seeds = append(seeds, runs.Entry{Address: address})
 	}
+	d.learn(seeds)
+	d.choose(ctx)
 	asking, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	entries, err := d.agent.deps.Registry.Entries(asking)
@@ -54,42 +90,164 @@
 		d.agent.log.Warn().Err(err).Msg("agent: the registry of entries does not answer")
 		return
 	}
-	d.learn(ctx, entries)
+	d.learn(entries)
 }
 
-func (d *directory) learn(ctx context.Context, entries []runs.Entry) {
+// learn adds entries.
+func (d *directory) learn(entries []runs.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, e := range entries {
-		d.connect(ctx, e.Address)
+		c := d.contacts[e.Address]
+		switch {
+		case c == nil:
+			d.contacts[e.Address] = &contact{entry: e}
+		case c.entry.Incarnation != e.Incarnation && e.Incarnation != 0:
+			c.entry = e
+		default:
+			continue
+		}
+		d.signal()
+	}
+}
+
+func (d *directory) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// settle tells whether all ends that are kept have found their entry. While they have
+// not, the agent works with all entries.
+func (d *directory) settle(settled bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.settled != settled {
+		d.settled = settled
+		d.signal()
 	}
 }
 
-// connect starts a connector unless there is one.
-func (d *directory) connect(ctx context.Context, address string) {
+// choose opens links to the entries that this agent should work with, and releases others.
+func (d *directory) choose(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.known[address] || ctx.Err() != nil {
+	wanted := d.wanted()
+	for address, c := range d.contacts {
+		d.want(c, wanted[address])
+		if c.wanted && !c.kept && ctx.Err() == nil {
+			c.kept = true
+			c.lostAt = time.Now()
+			go d.keep(ctx, address, c)
+		}
+	}
+}
+
+// wanted returns the addresses to work with: the choice among all that are known, that
+// among those in reach, and those of which only the address is known.
+func (d *directory) wanted() map[string]bool {
+	wanted := make(map[string]bool)
+	var known, inReach []runs.Entry
+	for address, c := range d.contacts {
+		if c.entry.Incarnation == 0 {
+			wanted[address] = true
+			continue
+		}
+		known = append(known, c.entry)
+		if c.link != nil || !c.kept || time.Since(c.lostAt) < substituteAfter {
+			inReach = append(inReach, c.entry)
+		}
+	}
+	chosen := slices.Concat(d.choice(known), d.choice(inReach))
+	for _, e := range chosen {
+		wanted[e.Address] = true
+	}
+	return wanted
+}
+
+func (d *directory) choice(entries []runs.Entry) []runs.Entry {
+	if !d.settled {
+		return entries
+	}
+	return subset.Choose(d.agent.settings.Name, d.agent.settings.DataCentre, entries)
+}
+
+// want notes whether an entry is worked with, and has an open link released or retained.
+func (d *directory) want(c *contact, wanted bool) {
+	if c.wanted == wanted {
 		return
 	}
-	d.known[address] = true
-	go d.keep(ctx, address)
+	c.wanted = wanted
+	l := c.link
+	if l == nil {
+		return
+	}
+	d.agent.post(func(core *core.Core, now time.Time) {
+		if wanted {
+			core.Retain(now, l.id)
+		} else {
+			core.Release(now, l.id)
+		}
+	})
 }
 
+// linked returns the number of open links.
 func (d *directory) linked() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.up
+	n := 0
+	for _, c := range d.contacts {
+		if c.link != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// opened notes an open link.
+func (d *directory) opened(address string, l *link) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.contacts[address]; c != nil {
+		c.link = l
+		d.signal()
+	}
 }
 
-func (d *directory) countUp(change int) {
+// closed notes that a link is no more.
+func (d *directory) closed(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.up += change
+	if c := d.contacts[address]; c != nil {
+		c.link = nil
+		c.lostAt = time.Now()
+	}
+}
+
+// keep links the agent to one entry until that is out of reach for long, when it is
+// forgotten, or not worked with any more.
+func (d *directory) keep(ctx context.Context, address string, c *contact) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	left := false
+	transport.Keep(ctx, func(ctx context.Context) bool {
+		if left = !d.isWanted(c); left {
+			stop()
+			return false
+		}
+		return d.agent.serve(ctx, address)
+	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.kept = false
+	if !left {
+		delete(d.contacts, address)
+	}
 }
 
-// keep holds a link to one entry until that is out of reach for long.
-func (d *directory) keep(ctx context.Context, address string) {
-	transport.Keep(ctx, func(ctx context.Context) bool { return d.agent.serve(ctx, address) })
+func (d *directory) isWanted(c *contact) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.known, address)
+	return c.wanted
 }
--- a/service/runner/link.go
+++ b/service/runner/link.go
@@ -63,10 +63,10 @@
 	}
 	l := &link{id: core.LinkID(lastLink.Add(1)), ring: make(chan *runs.ToEntry, linkRing), stop: stop}
 	l.heard.Store(time.Now().UnixNano())
-	a.opened(ctx, l, hello)
+	a.opened(address, l, hello)
 	go l.write(linkCtx, stream)
 	go l.watch(linkCtx)
-	a.read(ctx, l, stream)
+	a.read(l, stream)
 	a.closed(l, address)
 	return true
 }
@@ -81,22 +81,22 @@
 	return stream.Recv()
 }
 
-func (a *Agent) opened(ctx context.Context, l *link, first *runs.ToAgent) {
+func (a *Agent) opened(address string, l *link, first *runs.ToAgent) {
 	var entry runs.Entry
 	if first.Hello != nil {
 		entry = *first.Hello
 	}
-	a.dir.countUp(1)
-	a.dir.learn(ctx, first.Entries)
 	a.post(func(c *core.Core, now time.Time) {
 		a.links[l.id] = l
 		c.LinkUp(now, l.id, entry)
 	})
+	a.dir.learn(append(first.Entries, entry))
+	a.dir.opened(address, l)
 	a.log.Info().Str("entry", entry.Address).Uint64("incarnation", entry.Incarnation).Msg("agent: link up")
 }
 
 func (a *Agent) closed(l *link, address string) {
-	a.dir.countUp(-1)
+	a.dir.closed(address)
 	a.post(func(c *core.Core, now time.Time) {
 		delete(a.links, l.id)
 		c.LinkDown(now, l.id)
@@ -104,7 +104,7 @@
 	a.log.Info().Str("entry", address).Dur("silence", time.Since(time.Unix(0, l.heard.Load()))).Msg("agent: link down")
 }
 
-func (a *Agent) read(ctx context.Context, l *link, stream runs.AgentEnd) {
+func (a *Agent) read(l *link, stream runs.AgentEnd) {
 	defer l.stop()
 	for {
 		msg, err := stream.Recv()
@@ -112,7 +112,7 @@
 			return
 		}
 		l.heard.Store(time.Now().UnixNano())
-		a.dir.learn(ctx, msg.Entries)
+		a.dir.learn(msg.Entries)
 		a.post(func(c *core.Core, now time.Time) { c.Receive(now, l.id, msg) })
 	}
 }
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -62,6 +62,8 @@
 	Capacity room.Room `cbor:"6,keyasint"`
 	// Draining workers get no new work.
 	Draining bool `cbor:"7,keyasint,omitempty"`
+	// Released is set while the agent closes the link, since it works with other entries.
+	Released bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Start asks for one run of a task.
@@ -135,7 +137,7 @@
 	Late
 	// NoLease: the agent holds no lease of the entry.
 	NoLease
-	// Draining: the worker or its agent is leaving.
+	// Draining: the worker or its agent is leaving, or the link is being closed.
 	Draining
 	// NoWorker: the worker is not known yet, gone, or out of reach.
 	NoWorker
@@ -213,6 +215,8 @@
 	FailStreak int `cbor:"4,keyasint,omitempty"`
 	// Seen is the number of starts of the receiver that the load includes.
 	Seen uint64 `cbor:"5,keyasint"`
+	// Sharers is the number of entries that the agent has links to.
+	Sharers int `cbor:"7,keyasint,omitempty"`
 }
 
 // Progress reports a run that takes longer than was estimated, or that waits.
@@ -264,14 +268,29 @@
 	Void []Key `cbor:"10,keyasint,omitempty"`
 }
 
+// Member is what entries say of one of them.
+type Member struct {
+	Entry Entry `cbor:"1,keyasint"`
+	// Serial orders what is said of an address; only the entry there raises it.
+	Serial uint64 `cbor:"2,keyasint"`
+	// Gone entries were lost by an entry that had an exchange with them.
+	Gone bool `cbor:"3,keyasint,omitempty"`
+}
+
 // Gossip is what entries tell each other.
 type Gossip struct {
-	From    Entry   `cbor:"1,keyasint"`
-	Entries []Entry `cbor:"2,keyasint,omitempty"`
+	// Self is the sender.
+	Self Member `cbor:"1,keyasint"`
+	// Members are the records that have changed, or all of them.
+	Members []Member `cbor:"2,keyasint,omitempty"`
 	// ConfigVersion is the version in force at the sender; 0 if it has none.
 	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
 	// Config is the configuration, if the receiver has asked for it.
 	Config []byte `cbor:"4,keyasint,omitempty"`
 	// Want asks for the configuration.
 	Want bool `cbor:"5,keyasint,omitempty"`
+	// Digest is of the entries that the sender takes to be alive.
+	Digest uint64 `cbor:"6,keyasint"`
+	// Closing says that the sender closes the exchange on purpose and lives on.
+	Closing bool `cbor:"7,keyasint,omitempty"`
 }
