--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -41,6 +41,8 @@
 	// NextConfig waits for a configuration that this store value has not returned
 	// yet. It may return nil without an error if there is none after some time.
 	NextConfig(ctx context.Context) (*Document, error)
+	// Arriving reports whether a configuration is being read that NextConfig waits for.
+	Arriving() bool
 	// Parse decodes a document that another entry has passed on.
 	Parse(raw []byte) (*Document, error)
 	// Register makes an entry known.
@@ -195,7 +197,6 @@
 		now := boottime.Now()
 		e.judgeTime(now)
 		e.settle(now)
-		e.workers.Store(int64(e.core.Workers()))
 		timer.Reset(e.tick())
 	}
 }
@@ -210,6 +211,7 @@
 	e.ticks.Add(1)
 	e.core.Tick(now)
 	e.keeper.tick(now)
+	e.workers.Store(int64(e.core.Workers()))
 	e.publish()
 }
 
--- a/service/batch/exchange.go
+++ b/service/batch/exchange.go
@@ -76,7 +76,9 @@
 // heard is what the other side of a stream has said last.
 type heard struct {
 	version uint64
-	want    bool
+	// want is set if it asks for the configuration, from a byte on.
+	want bool
+	from int
 }
 
 // speak sends what this entry knows: at once after a change, else now and then.
@@ -85,10 +87,10 @@
 	var last heard
 	for {
 		msg := p.word(x)
-		msg.Want = p.asking.ask(time.Now(), msg.ConfigVersion, last.version)
-		if doc := p.entry.config.Load(); last.want && doc != nil && last.version < doc.Catalog.Version {
-			msg.Config = doc.Raw
+		msg.Want, msg.WantFrom = p.asking.ask(time.Now(), msg.ConfigVersion, last.version, p.entry.deps.Store.Arriving())
+		if last.want {
 			last.want = false
+			p.addPart(msg, last)
 		}
 		if stream.Send(msg) != nil || msg.Closing {
 			return
@@ -129,6 +131,17 @@
 	return msg
 }
 
+// addPart adds the part of the configuration that the other side has asked for.
+func (p *peers) addPart(msg *runs.Gossip, asked heard) {
+	doc := p.entry.config.Load()
+	if doc == nil || doc.Catalog.Version <= asked.version || asked.from < 0 || asked.from >= len(doc.Raw) {
+		return
+	}
+	msg.ConfigVersion = doc.Catalog.Version
+	msg.Config = doc.Raw[asked.from:min(asked.from+partSize, len(doc.Raw))]
+	msg.ConfigFrom, msg.ConfigSize = asked.from, len(doc.Raw)
+}
+
 // pause returns the time until something is said without a reason.
 func (p *peers) pause(theirs uint64) time.Duration {
 	if theirs > p.entry.configVersion() {
@@ -148,11 +161,13 @@
 		reached = true
 		silence.Reset(silentAfter)
 		p.hear(x, msg)
-		p.takeConfig(msg)
-		now := heard{version: msg.ConfigVersion, want: msg.Want}
+		p.takeConfig(x, msg)
+		now := heard{version: msg.ConfigVersion, want: msg.Want, from: msg.WantFrom}
 		select {
 		case before := <-theirs:
-			now.want = now.want || before.want
+			if before.want && !now.want {
+				now.want, now.from = true, before.from
+			}
 		default:
 		}
 		theirs <- now
@@ -184,13 +199,19 @@
 	p.report(ch)
 }
 
-// takeConfig puts a configuration in force that another entry has passed on.
-func (p *peers) takeConfig(msg *runs.Gossip) {
+// takeConfig takes a part of a configuration that another entry has passed on, and puts
+// it in force once it is whole.
+func (p *peers) takeConfig(x *exchange, msg *runs.Gossip) {
 	if len(msg.Config) == 0 || msg.ConfigVersion <= p.entry.configVersion() {
 		return
 	}
 	from := msg.Self.Entry.Address
-	doc, err := p.entry.deps.Store.Parse(msg.Config)
+	raw := p.asking.took(msg.ConfigVersion, msg.ConfigFrom, msg.ConfigSize, msg.Config)
+	if raw == nil {
+		x.signal() // to ask for the next part
+		return
+	}
+	doc, err := p.entry.deps.Store.Parse(raw)
 	if err != nil {
 		p.entry.log.Error().Err(err).Str("from", from).Msg("entry: a passed on configuration is not valid")
 		return
--- a/service/batch/peers_test.go
+++ b/service/batch/peers_test.go
@@ -50,6 +50,8 @@
 	}
 }
 
+func (s *fakeStore) Arriving() bool { return false }
+
 func (s *fakeStore) Parse(raw []byte) (*Document, error) {
 	s.parsed.Add(1)
 	return document(uint64(raw[0])), nil
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -285,10 +285,14 @@
 	Members []Member `cbor:"2,keyasint,omitempty"`
 	// ConfigVersion is the version in force at the sender; 0 if it has none.
 	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
-	// Config is the configuration, if the receiver has asked for it.
-	Config []byte `cbor:"4,keyasint,omitempty"`
-	// Want asks for the configuration.
-	Want bool `cbor:"5,keyasint,omitempty"`
+	// Config is a part of that configuration, if the receiver has asked for it: the bytes
+	// from ConfigFrom on, of ConfigSize in all.
+	Config     []byte `cbor:"4,keyasint,omitempty"`
+	ConfigFrom int    `cbor:"8,keyasint,omitempty"`
+	ConfigSize int    `cbor:"9,keyasint,omitempty"`
+	// Want asks for the next part of the receiver's configuration, from WantFrom on.
+	Want     bool `cbor:"5,keyasint,omitempty"`
+	WantFrom int  `cbor:"10,keyasint,omitempty"`
 	// Digest is of the entries that the sender takes to be alive.
 	Digest uint64 `cbor:"6,keyasint"`
 	// Closing says that the sender closes the exchange on purpose and lives on.
