Entries short of agents ask for all; time in the entry counts; subsets in the schedules

Change: an entry that fewer than four agents have chosen for 3 s says so in what entries tell each other; all agents work with it on demand, which does not count as chosen. The emulator's agents turn to other entries, release links, and work with all while kept ends find no owner. Also: a job that has waited in the process before the core sees it arrived when it was read. An entry whose processor binds took every job as one in time.

--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -75,6 +75,32 @@
 	return left
 }
 
+const (
+	// fewAgents is the number of agents below which an entry asks for all: one that is
+	// drained and one that fails leave a choice then.
+	fewAgents = 4
+	// shortAfter is how long it must have had fewer. When everything has just started
+	// agents come within a second; if all entries asked for all agents then, each pair
+	// of them would open a link.
+	shortAfter = 3 * time.Second
+)
+
+// Short reports whether so few agents work with this entry of their own choice that it
+// has to ask for all of them. In a fleet with many entries and few agents some entries
+// would have none: what they own would never run.
+func (c *Core) Short() bool {
+	own := 0
+	for a := range c.agents.Values() {
+		if a.greeted && !a.worker.OnDemand && !a.worker.Released {
+			own++
+		}
+	}
+	if own >= fewAgents || c.enoughAt.IsZero() {
+		c.enoughAt = c.now
+	}
+	return c.now.Sub(c.enoughAt) > shortAfter
+}
+
 // LinkUp opens a link to an agent.
 func (c *Core) LinkUp(now time.Time, id LinkID) {
 	c.Now(now)
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -95,6 +95,9 @@
 	Version uint64
 	Spec    string
 	Steps   []Step
+	// Arrived is when the request was read, before it waited for the core; zero if it
+	// did not wait.
+	Arrived time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
@@ -177,6 +180,8 @@
 	settledAt time.Time
 	// startedAt is the time of the first event.
 	startedAt time.Time
+	// enoughAt is when enough agents were last seen to work with this entry.
+	enoughAt time.Time
 	// ownedUntil is until when the entry is sure to own its durable jobs.
 	ownedUntil time.Time
 	// unrecorded are durable jobs with something that is not stored.
--- a/core/batch/core_test.go
+++ b/core/batch/core_test.go
@@ -360,3 +360,22 @@
 	r.is.Equal(len(got[0]), 0)
 	r.is.Equal(len(got[1]), 2)
 }
+
+// TestTimeInTheEntryCountsAgainstTheObjective: a job that has waited in the process for
+// longer than its slack is not taken as one that will be in time.
+func TestTimeInTheEntryCountsAgainstTheObjective(t *testing.T) {
+	r := newRig(t, 1)
+	submit := func(id int, arrived time.Time) {
+		r.Submit(after(200), &Request{
+			ID: RequestID(id), Job: jobName(id), Queue: queue, Arrived: arrived, Deadline: after(1700),
+			Steps: []Step{{Count: 1, Need: need, Estimate: 100 * time.Millisecond}},
+		})
+	}
+	r.hear(after(200), 0, nil)
+	submit(1, after(100)) // 120 ms of slack, 100 of them gone
+	r.is.Equal(len(started(r.flush(after(200)))[0]), 1)
+	submit(2, after(50))
+	r.is.True(r.jobs.Get(jobName(2)).late)
+	starts := started(r.flush(after(200)))[0]
+	r.is.Equal(runs.SlackBand(starts[0].Slack), runs.SlackBands-1) // in room that is free, behind others
+}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -159,7 +159,7 @@
 func (c *Core) newJob(r *Request) *job {
 	j := &job{
 		name: r.Job, queue: r.Queue, version: r.Version, spec: r.Spec, requests: []RequestID{r.ID},
-		arrived: c.now, deadline: r.Deadline, steps: make([]step, len(r.Steps)),
+		arrived: c.arrival(r), deadline: r.Deadline, steps: make([]step, len(r.Steps)),
 	}
 	for i := range r.Steps {
 		s := &j.steps[i]
@@ -178,6 +178,16 @@
 	return j
 }
 
+// arrival is when a request came. What it has waited in this process since counts
+// against its objective: an entry whose processor is the bottleneck would otherwise take
+// every job as one that is in time, and serve all of them late.
+func (c *Core) arrival(r *Request) time.Time {
+	if r.Arrived.IsZero() || r.Arrived.After(c.now) {
+		return c.now
+	}
+	return r.Arrived
+}
+
 // TaskName returns the name of a task of a job that runs once.
 func TaskName(job string, step, index int) string {
 	return job + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -54,7 +54,8 @@
 type Change struct {
 	// Records are to be passed on.
 	Records []runs.Member
-	// Joined are processes that were not known before, Gone those that are gone now.
+	// Joined are processes that were not known before or say something new of themselves,
+	// Gone those that are gone now.
 	Joined, Gone []runs.Entry
 }
 
@@ -68,6 +69,25 @@
 // Self returns what this entry says of itself.
 func (v *View) Self() runs.Member { return v.self }
 
+// SetShort says whether this entry has too few agents.
+func (v *View) SetShort(short bool) Change {
+	if v.self.Entry.Short == short {
+		return Change{}
+	}
+	self := v.self
+	self.Entry.Short = short
+	return v.raise(self, v.self.Serial)
+}
+
+// raise changes what this entry says of itself, over a serial number.
+func (v *View) raise(self runs.Member, above uint64) Change {
+	v.digest ^= fingerprint(v.self)
+	v.self = self
+	v.self.Serial = above + 1
+	v.digest ^= fingerprint(v.self)
+	return Change{Records: []runs.Member{v.self}}
+}
+
 // Digest tells apart views of other members.
 func (v *View) Digest() uint64 { return v.digest }
 
@@ -121,10 +141,7 @@
 	if r.Serial < v.self.Serial || r.Serial == v.self.Serial && same {
 		return
 	}
-	v.digest ^= fingerprint(v.self)
-	v.self.Serial = r.Serial + 1
-	v.digest ^= fingerprint(v.self)
-	ch.Records = append(ch.Records, v.self)
+	ch.Records = append(ch.Records, v.raise(v.self, r.Serial).Records...)
 }
 
 func (v *View) take(now time.Time, r runs.Member, ch *Change) {
@@ -165,7 +182,7 @@
 	switch {
 	case r.Gone && !old.Gone:
 		ch.Gone = append(ch.Gone, r.Entry)
-	case !r.Gone && (old.Gone || old.Entry.Incarnation != r.Entry.Incarnation):
+	case !r.Gone && (old.Gone || old.Entry != r.Entry):
 		ch.Joined = append(ch.Joined, r.Entry)
 	}
 }
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -67,6 +67,19 @@
 	is.Equal(len(v.Hear(begin, []runs.Member{{Entry: entry(2), Serial: 1, Gone: true}}).Records), 0) // not known: not of interest
 }
 
+func TestWordOfShortageReachesAll(t *testing.T) {
+	is := is.New(t)
+	v, other := New(entry(1)), New(entry(2))
+	other.Hear(begin, v.Records())
+	ch := v.SetShort(true)
+	is.Equal(len(v.SetShort(true).Records), 0)
+	joined := other.Hear(begin, ch.Records).Joined
+	is.Equal(len(joined), 1)
+	is.True(joined[0].Short)
+	is.Equal(len(other.Hear(begin, v.SetShort(false).Records).Joined), 1)
+	is.True(!other.Alive()[1].Short)
+}
+
 // net is a number of views that exchange with their neighbours, in rounds.
 type net struct {
 	views map[string]*View
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -93,6 +93,8 @@
 	lastSent time.Time
 	// releasedAt is when the link was given up; zero while it is in use.
 	releasedAt time.Time
+	// onDemand links are kept only since their entry is short of agents.
+	onDemand bool
 }
 
 // Core is the state of one agent.
--- a/core/runner/release.go
+++ b/core/runner/release.go
@@ -38,6 +38,17 @@
 	c.tellWorker(l)
 }
 
+// OnDemand notes whether a link is kept only since its entry is short of agents.
+func (c *Core) OnDemand(now time.Time, id LinkID, onDemand bool) {
+	c.now = now
+	l := c.links.Get(id)
+	if l == nil || l.onDemand == onDemand {
+		return
+	}
+	l.onDemand = onDemand
+	c.tellWorker(l)
+}
+
 // closeReleased closes released links whose entries have no runs here.
 func (c *Core) closeReleased() {
 	for id, l := range c.links.All() {
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -251,7 +251,7 @@
 func (c *Core) tellWorker(l *link) {
 	info := c.worker.info
 	info.Draining = info.Draining || c.draining
-	info.Released = l.released()
+	info.Released, info.OnDemand = l.released(), l.onDemand
 	if !c.worker.synced || c.outOfUse() {
 		info.ID = ""
 	}
--- a/lab/emulator/durable_test.go
+++ b/lab/emulator/durable_test.go
@@ -49,6 +49,20 @@
 	return w
 }
 
+// checkEnded checks that all accepted jobs have ended, and returns their number.
+func checkEnded(w *world) int {
+	ended := 0
+	for job := range w.checks.accepted {
+		state := w.store.rows[job].Row
+		if state == nil || !state.State.Ended() {
+			w.checks.breaks("job %s was accepted and has not ended: %+v", job, state)
+			continue
+		}
+		ended++
+	}
+	return ended
+}
+
 func TestDurableSchedules(t *testing.T) {
 	first, last := uint64(1), uint64(*seeds)/3
 	if *oneSeed != 0 {
@@ -57,15 +71,8 @@
 	accepted, done := 0, 0
 	for seed := first; seed <= last; seed++ {
 		w := playDurable(seed)
-		for job := range w.checks.accepted {
-			accepted++
-			state := w.store.rows[job].Row
-			if state == nil || !state.State.Ended() {
-				w.checks.breaks("job %s was accepted and has not ended: %+v", job, state)
-				continue
-			}
-			done++
-		}
+		accepted += len(w.checks.accepted)
+		done += checkEnded(w)
 		for _, b := range w.checks.broken {
 			t.Errorf("seed %d: %s", seed, b)
 		}
--- a/lab/emulator/links.go
+++ b/lab/emulator/links.go
@@ -27,13 +27,20 @@
 	self := e.self
 	a.deliver(2*time.Millisecond+2*way, func() {
 		a.links.Put(runner.LinkID(l.id), l)
-		a.event(func() { a.core.LinkUp(w.now, runner.LinkID(l.id), self) })
+		a.event(func() {
+			a.core.LinkUp(w.now, runner.LinkID(l.id), self)
+			a.core.OnDemand(w.now, runner.LinkID(l.id), !a.chosen[e.address])
+		})
 	})
 	w.watchLink(l, lifeA, lifeE)
 }
 
-// reconnect opens a link if neither side has got one meanwhile.
+// reconnect opens a link if the agent works with the entry, and neither side has got
+// one meanwhile.
 func (w *world) reconnect(a *agentProcess, e *entryProcess) {
+	if !a.entries[e.address] {
+		return
+	}
 	for l := range a.links.Values() {
 		if l.entry == e && l.open {
 			return
--- a/lab/emulator/processes.go
+++ b/lab/emulator/processes.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"maps"
 	"time"
 
 	"peridotpick.example/common/ordered"
@@ -46,10 +47,11 @@
 	process
 	core   *runner.Core
 	worker *worker
-	// entries are the addresses of the entries that it works with.
-	entries map[string]bool
-	looking bool
-	links   ordered.Map[runner.LinkID, *simLink]
+	// entries are the addresses of the entries that it works with, chosen those when
+	// all its ends are settled.
+	entries, chosen map[string]bool
+	looking         bool
+	links           ordered.Map[runner.LinkID, *simLink]
 	// known is what the registry remembers of the worker.
 	known runs.Worker
 }
@@ -66,7 +68,8 @@
 }
 
 func newAgentProcess(w *world, k *worker) *agentProcess {
-	a := &agentProcess{process: process{w: w}, worker: k, entries: w.layout.chosen(k)}
+	chosen := w.layout.chosen(k)
+	a := &agentProcess{process: process{w: w}, worker: k, entries: chosen, chosen: chosen}
 	a.start()
 	return a
 }
@@ -92,11 +95,46 @@
 func (a *agentProcess) ticks() {
 	a.deliver(tick, func() {
 		a.core.Tick(a.w.now)
+		a.turnToOwners()
 		a.perform()
 		a.ticks()
 	})
 }
 
+// turnToOwners has the agent work also with entries that are short of agents, and with
+// all while kept ends find no owner.
+func (a *agentProcess) turnToOwners() {
+	all := a.core.Unsettled()
+	entries := make(map[string]bool)
+	for _, e := range a.w.entries {
+		if all || a.chosen[e.address] || !e.dead && e.core.Short() {
+			entries[e.address] = true
+		}
+	}
+	a.turn(entries)
+}
+
+// turn has the agent work with some entries, and release its links to others.
+func (a *agentProcess) turn(entries map[string]bool) {
+	if maps.Equal(a.entries, entries) {
+		return
+	}
+	a.entries = entries
+	for id, l := range a.links.All() {
+		if entries[l.entry.address] {
+			a.core.Retain(a.w.now, id)
+		} else {
+			a.core.Release(a.w.now, id)
+		}
+		a.core.OnDemand(a.w.now, id, !a.chosen[l.entry.address])
+	}
+	for _, e := range a.w.entries {
+		if entries[e.address] {
+			a.w.reconnect(a, e)
+		}
+	}
+}
+
 func (a *agentProcess) announce() {
 	w := a.w
 	a.deliver(time.Duration(w.rand.Int64N(int64(w.layout.announceEvery))), func() {
@@ -133,6 +171,11 @@
 	for _, n := range out.Notes {
 		a.w.tell("%s %s %s/%d %s", a.worker.name, n.Event, n.Key.Task, n.Key.Run, n.Reason)
 	}
+	for _, id := range out.Closes {
+		if l := a.links.Get(id); l != nil {
+			l.close()
+		}
+	}
 	for _, o := range out.Orders {
 		a.order(o)
 	}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -212,6 +212,7 @@
 	e.core.Tick(now)
 	e.keeper.tick(now)
 	e.workers.Store(int64(e.core.Workers()))
+	e.peers.setShort(e.core.Short())
 	e.publish()
 }
 
@@ -343,7 +344,10 @@
 	r.ID = core.RequestID(e.nextID.Add(1))
 	waiting := make(chan core.Answer, 1)
 	e.post(func(c *core.Core, now time.Time) {
-		r.Deadline = now.Add(wait)
+		if r.Arrived.IsZero() {
+			r.Arrived = now
+		}
+		r.Deadline = r.Arrived.Add(wait)
 		e.waiting[r.ID] = waiting
 		c.Submit(now, &r)
 	})
--- a/service/batch/link.go
+++ b/service/batch/link.go
@@ -64,7 +64,7 @@
 	if _, err := stream.Recv(); err != nil {
 		return eris.Wrap(err, "receive hello")
 	}
-	return stream.Send(&runs.ToAgent{Hello: &e.self, Entries: e.peers.alive()})
+	return stream.Send(&runs.ToAgent{Hello: e.peers.self(), Entries: e.peers.alive()})
 }
 
 func (e *Entry) readLink(stream runs.EntryEnd, l *link) error {
--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -290,7 +290,7 @@
 		return
 	}
 	for x := range p.streams {
-		if x != from || ch.Records[0].Entry == p.entry.self {
+		if x != from || ch.Records[0].Entry.Address == p.entry.self.Address {
 			x.pending = append(x.pending, ch.Records...)
 			x.signal()
 		}
@@ -303,7 +303,8 @@
 		p.entry.log.Info().Str("peer", e.Address).Uint64("incarnation", e.Incarnation).Msg("entry: peer is gone")
 	}
 	for _, e := range ch.Joined {
-		p.entry.log.Info().Str("peer", e.Address).Uint64("incarnation", e.Incarnation).Msg("entry: peer is alive")
+		p.entry.log.Info().Str("peer", e.Address).Uint64("incarnation", e.Incarnation).Bool("short", e.Short).
+			Msg("entry: peer is alive")
 	}
 	if len(ch.Joined) > 0 {
 		p.entry.tellAgents(ch.Joined)
@@ -317,6 +318,14 @@
 	return p.view.Alive()
 }
 
+// self returns what this entry says of itself.
+func (p *peers) self() *runs.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.view.Self().Entry
+	return &self
+}
+
 // count returns the number of entries that are alive, this one included.
 func (p *peers) count() int {
 	p.mu.Lock()
@@ -342,6 +351,20 @@
 	return list
 }
 
+// setShort tells whether this entry has too few agents.
+func (p *peers) setShort(short bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ch := p.view.SetShort(short)
+	if len(ch.Records) == 0 {
+		return
+	}
+	p.entry.log.Info().Bool("short", short).Msg("entry: agents asked for")
+	p.spread(ch, nil)
+	self := ch.Records[0].Entry
+	go p.entry.tellAgents([]runs.Entry{self}) // the caller is the loop itself
+}
+
 // configChanged has all exchanges speak.
 func (p *peers) configChanged() {
 	p.asking.adopted()
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -45,8 +45,9 @@
 type contact struct {
 	// entry has no incarnation while only its address is known.
 	entry runs.Entry
-	// kept is true while a goroutine keeps a link to it, wanted while it shall do so.
-	kept, wanted bool
+	// kept is true while a goroutine keeps a link to it, wanted while it shall do so,
+	// onDemand if only since the entry is short of agents.
+	kept, wanted, onDemand bool
 	// link is the open link; nil if there is none.
 	link *link
 	// lostAt is when the last link was lost, or when the first one was attempted.
@@ -102,7 +103,7 @@
 		switch {
 		case c == nil:
 			d.contacts[e.Address] = &contact{entry: e}
-		case c.entry.Incarnation != e.Incarnation && e.Incarnation != 0:
+		case c.entry != e && e.Incarnation != 0:
 			c.entry = e
 		default:
 			continue
@@ -135,7 +136,8 @@
 	defer d.mu.Unlock()
 	wanted := d.wanted()
 	for address, c := range d.contacts {
-		d.want(c, wanted[address])
+		chosen := wanted[address]
+		d.want(c, chosen || c.entry.Short, !chosen)
 		if c.wanted && !c.kept && ctx.Err() == nil {
 			c.kept = true
 			c.lostAt = time.Now()
@@ -173,13 +175,20 @@
 	return subset.Choose(d.agent.settings.Name, d.agent.settings.DataCentre, entries)
 }
 
-// want notes whether an entry is worked with, and has an open link released or retained.
-func (d *directory) want(c *contact, wanted bool) {
-	if c.wanted == wanted {
+// want notes whether an entry is worked with, and why, and has an open link released or
+// retained.
+func (d *directory) want(c *contact, wanted, onDemand bool) {
+	onDemand = onDemand && wanted
+	if c.wanted == wanted && c.onDemand == onDemand {
 		return
 	}
-	c.wanted = wanted
-	l := c.link
+	c.wanted, c.onDemand = wanted, onDemand
+	d.tell(c)
+}
+
+// tell has the core know how an open link is used.
+func (d *directory) tell(c *contact) {
+	l, wanted, onDemand := c.link, c.wanted, c.onDemand
 	if l == nil {
 		return
 	}
@@ -189,6 +198,7 @@
 		} else {
 			core.Release(now, l.id)
 		}
+		core.OnDemand(now, l.id, onDemand)
 	})
 }
 
@@ -211,6 +221,7 @@
 	defer d.mu.Unlock()
 	if c := d.contacts[address]; c != nil {
 		c.link = l
+		d.tell(c)
 		d.signal()
 	}
 }
--- a/service/runner/directory_test.go
+++ b/service/runner/directory_test.go
@@ -28,6 +28,10 @@
 	ended   chan struct{}
 	// releases counts the times that an agent released a link.
 	releases atomic.Int64
+	// onDemand is what the agent said last of why it works with this entry.
+	onDemand atomic.Bool
+	// short is what it says of itself.
+	short atomic.Bool
 }
 
 func newStandInEntry(t *testing.T, n int) *standInEntry {
@@ -67,7 +71,9 @@
 	if _, err := stream.Recv(); err != nil {
 		return err
 	}
-	if err := stream.Send(&runs.ToAgent{Hello: &e.self}); err != nil {
+	hello := e.self
+	hello.Short = e.short.Load()
+	if err := stream.Send(&runs.ToAgent{Hello: &hello}); err != nil {
 		return err
 	}
 	e.links.Add(1)
@@ -81,6 +87,9 @@
 			if msg.Worker != nil && msg.Worker.Released {
 				e.releases.Add(1)
 			}
+			if msg.Worker != nil {
+				e.onDemand.Store(msg.Worker.OnDemand)
+			}
 		}
 	}()
 	for stream.Context().Err() == nil {
@@ -215,6 +224,29 @@
 	await(t, "the last entry has no link", func() bool { return last.links.Load() > 0 })
 }
 
+// TestShortEntryIsLinkedOnDemand: an entry that few agents chose gets them all, for as
+// long as it is short.
+func TestShortEntryIsLinkedOnDemand(t *testing.T) {
+	is := is.New(t)
+	a, fleet := fleetOf(t, subset.Total+6)
+	await(t, "the chosen entries are not linked", func() bool { return same(linked(fleet), chosenOf(fleet)) })
+	var other *standInEntry
+	for _, e := range fleet {
+		if !chosenOf(fleet)[e.self.Address] {
+			other = e
+		}
+	}
+	other.short.Store(true)
+	short := other.self
+	short.Short = true
+	a.dir.learn([]runs.Entry{short})
+	await(t, "the short entry is not linked", func() bool { return other.links.Load() == 1 && other.onDemand.Load() })
+	is.Equal(len(linked(fleet)), subset.Total+1)
+	other.short.Store(false)
+	a.dir.learn([]runs.Entry{other.self})
+	await(t, "the link on demand stays", func() bool { return same(linked(fleet), chosenOf(fleet)) })
+}
+
 // TestKeptEndsFindTheirEntry: while an end waits for the entry that has taken its job
 // over, the agent works with all of them.
 func TestKeptEndsFindTheirEntry(t *testing.T) {
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -44,6 +44,8 @@
 	Incarnation uint64 `cbor:"2,keyasint"`
 	// DataCentre locates the entry.
 	DataCentre string `cbor:"3,keyasint"`
+	// Short entries have too few agents; all agents work with them.
+	Short bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Worker describes the worker beside an agent: one incarnation of a backend server.
@@ -64,6 +66,8 @@
 	Draining bool `cbor:"7,keyasint,omitempty"`
 	// Released is set while the agent closes the link, since it works with other entries.
 	Released bool `cbor:"8,keyasint,omitempty"`
+	// OnDemand is set if the agent works with the entry only since that is short.
+	OnDemand bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Start asks for one run of a task.
