--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -20,15 +20,22 @@
 	"peridotpick.example/service/transport"
 )
 
+// profileFlag has profiles of the process served; without it a reader of the metrics
+// cannot cost processor time.
+const profileFlag = "profile"
+
 func superviseCommand() *cli.Command {
 	return &cli.Command{
 		Name: "supervise", Usage: "run an agent on the users' platform, until SIGTERM",
 		Description: "Reads the platform's settings file, whose path is in " + boot.PathVariable + ".",
-		Action:      runSupervise,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: profileFlag, Usage: "serve processor and heap profiles beside the metrics, under /debug/pprof/"},
+		},
+		Action: runSupervise,
 	}
 }
 
-func runSupervise(ctx context.Context, _ *cli.Command) error {
+func runSupervise(ctx context.Context, command *cli.Command) error {
 	file, err := boot.Load()
 	if err != nil {
 		return err
@@ -46,7 +53,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, _ := errgroup.WithContext(work)
-	group.Go(func() error { return telemetry.Serve(work, file.Metrics(), registry) })
+	group.Go(func() error { return telemetry.Serve(work, file.Metrics(), registry, command.Bool(profileFlag)) })
 	group.Go(func() error { return announcements.Serve(work, file.Listen.Announce) })
 	group.Go(func() error {
 		defer stop()
--- a/cmd/peridotpick/dispatch.go
+++ b/cmd/peridotpick/dispatch.go
@@ -21,15 +21,22 @@
 	"peridotpick.example/service/transport"
 )
 
+// profileFlag has profiles of the process served; without it a reader of the metrics
+// cannot cost processor time.
+const profileFlag = "profile"
+
 func dispatchCommand() *cli.Command {
 	return &cli.Command{
 		Name: "dispatch", Usage: "run an entry on the users' platform, until SIGTERM",
 		Description: "Reads the platform's settings file, whose path is in " + boot.PathVariable + ".",
-		Action:      runDispatch,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: profileFlag, Usage: "serve processor and heap profiles beside the metrics, under /debug/pprof/"},
+		},
+		Action: runDispatch,
 	}
 }
 
-func runDispatch(ctx context.Context, _ *cli.Command) error {
+func runDispatch(ctx context.Context, command *cli.Command) error {
 	file, err := boot.Load()
 	if err != nil {
 		return err
@@ -48,7 +55,7 @@
 	defer stop()
 	group, _ := errgroup.WithContext(work)
 	group.Go(func() error { return e.Run(work) })
-	group.Go(func() error { return telemetry.Serve(work, file.Metrics(), registry) })
+	group.Go(func() error { return telemetry.Serve(work, file.Metrics(), registry, command.Bool(profileFlag)) })
 	group.Go(func() error {
 		defer stop()
 		return callers.Serve(ctx, file.Listen.Callers, file.Listen.Ready, file.Grace())
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -107,6 +107,8 @@
 	peers    *peers
 	keeper   *keeper
 	listener net.Listener
+	// agentTraffic and entryTraffic count the messages of links and exchanges.
+	agentTraffic, entryTraffic *telemetry.Traffic
 	// workers is the number of workers that can be given work.
 	workers  atomic.Int64
 	draining atomic.Bool
@@ -131,6 +133,7 @@
 		self:   runs.Entry{Address: s.Address, Incarnation: number, DataCentre: s.Core.DataCentre},
 		core:   core.New(s.Core), links: make(map[core.LinkID]*link),
 		waiting: make(map[core.RequestID]chan core.Answer), listener: listener,
+		agentTraffic: telemetry.NewTraffic("agents", deps.Metrics), entryTraffic: telemetry.NewTraffic("entries", deps.Metrics),
 	}
 	e.work, e.abort = context.WithCancel(context.Background())
 	e.events = eventloop.New[*core.Core](eventRing, e.work.Done())
@@ -336,6 +339,8 @@
 	telemetry.Gauge("links", e.deps.Metrics, int64(len(e.links)))
 	telemetry.Gauge("config.version", e.deps.Metrics, int64(e.configVersion()))
 	telemetry.Gauge("logs.dropped", e.deps.Metrics, e.deps.Logs.Dropped())
+	e.agentTraffic.Log(e.tickedAt, e.log, "entry: traffic", len(e.links))
+	e.entryTraffic.Log(e.tickedAt, e.log, "entry: traffic", e.peers.exchanges())
 }
 
 // Submit hands a job in and waits for its answer, or until ctx ends because the
--- a/service/batch/exchange.go
+++ b/service/batch/exchange.go
@@ -95,6 +95,7 @@
 		if stream.Send(msg) != nil || msg.Closing {
 			return
 		}
+		p.entry.entryTraffic.Sent()
 		pause := time.NewTimer(p.pause(last.version))
 		for answered := false; !answered; {
 			select {
@@ -159,6 +160,7 @@
 			return reached
 		}
 		reached = true
+		p.entry.entryTraffic.Received()
 		silence.Reset(silentAfter)
 		p.hear(x, msg)
 		p.takeConfig(x, msg)
--- a/service/batch/link.go
+++ b/service/batch/link.go
@@ -48,7 +48,7 @@
 		c.LinkUp(now, l.id)
 	})
 	go func() { _ = e.readLink(stream, l) }()
-	err := l.write(ctx, stream)
+	err := e.writeLink(ctx, stream, l)
 	l.stop()
 	e.post(func(c *core.Core, now time.Time) {
 		delete(e.links, l.id)
@@ -74,17 +74,19 @@
 		if err != nil {
 			return err
 		}
+		e.agentTraffic.Received()
 		e.post(func(c *core.Core, now time.Time) { c.Receive(now, l.id, msg) })
 	}
 }
 
-func (l *link) write(ctx context.Context, stream runs.EntryEnd) error {
+func (e *Entry) writeLink(ctx context.Context, stream runs.EntryEnd, l *link) error {
 	for {
 		select {
 		case msg := <-l.ring:
 			if err := stream.Send(msg); err != nil {
 				return err
 			}
+			e.agentTraffic.Sent()
 		case <-ctx.Done():
 			return nil
 		}
--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -365,6 +365,13 @@
 	go p.entry.tellAgents([]runs.Entry{self}) // the caller is the loop itself
 }
 
+// exchanges returns the number of open exchanges.
+func (p *peers) exchanges() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.streams)
+}
+
 // configChanged has all exchanges speak.
 func (p *peers) configChanged() {
 	p.asking.adopted()
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -105,6 +105,7 @@
 	// remembered is the worker as the registry has it; the announcements' goroutine owns it.
 	remembered runs.Worker
 	dir        *directory
+	traffic    *telemetry.Traffic
 	work       context.Context
 	abort      context.CancelFunc
 }
@@ -115,7 +116,7 @@
 		settings: s, deps: deps, log: deps.Logs.For(logs.Agent), budget: logs.NewBudget(linesPerSecond), core: core.New(s.Core),
 		starts: make(chan core.Order, orderRing),
 		stops:  make(chan core.Order, orderRing), lookNow: make(chan struct{}, 1),
-		links: make(map[core.LinkID]*link),
+		links: make(map[core.LinkID]*link), traffic: telemetry.NewTraffic("entries", deps.Metrics),
 	}
 	a.work, a.abort = context.WithCancel(context.Background())
 	a.events = eventloop.New[*core.Core](eventRing, a.work.Done())
@@ -328,6 +329,7 @@
 	telemetry.Gauge("links", a.deps.Metrics, int64(len(a.links)))
 	telemetry.Gauge("runs", a.deps.Metrics, int64(a.core.Runs()))
 	telemetry.Gauge("logs.dropped", a.deps.Metrics, a.deps.Logs.Dropped())
+	a.traffic.Log(boottime.Now(), a.log, "agent: traffic", len(a.links))
 }
 
 // answered reports the outcome of an order without waiting for the loop.
--- a/service/runner/directory_test.go
+++ b/service/runner/directory_test.go
@@ -251,7 +251,7 @@
 // over, the agent works with all of them.
 func TestKeptEndsFindTheirEntry(t *testing.T) {
 	is := is.New(t)
-	a := New(Settings{Name: "a", DataCentre: "d"}, Deps{Logs: logs.Discard()})
+	a := New(Settings{Name: "a", DataCentre: "d"}, Deps{Logs: logs.Discard(), Metrics: metrics.NewRegistry()})
 	for i := range subset.Total + 6 {
 		a.dir.learn([]runs.Entry{{Address: fmt.Sprint("e", i), Incarnation: uint64(i + 1), DataCentre: "d"}})
 	}
--- a/service/runner/link.go
+++ b/service/runner/link.go
@@ -64,7 +64,7 @@
 	l := &link{id: core.LinkID(lastLink.Add(1)), ring: make(chan *runs.ToEntry, linkRing), stop: stop}
 	l.heard.Store(time.Now().UnixNano())
 	a.opened(address, l, hello)
-	go l.write(linkCtx, stream)
+	go a.write(linkCtx, l, stream)
 	go l.watch(linkCtx)
 	a.read(l, stream)
 	a.closed(l, address)
@@ -112,12 +112,13 @@
 			return
 		}
 		l.heard.Store(time.Now().UnixNano())
+		a.traffic.Received()
 		a.dir.learn(msg.Entries)
 		a.post(func(c *core.Core, now time.Time) { c.Receive(now, l.id, msg) })
 	}
 }
 
-func (l *link) write(ctx context.Context, stream runs.AgentEnd) {
+func (a *Agent) write(ctx context.Context, l *link, stream runs.AgentEnd) {
 	defer l.stop()
 	for {
 		select {
@@ -125,6 +126,7 @@
 			if stream.Send(msg) != nil {
 				return
 			}
+			a.traffic.Sent()
 		case <-ctx.Done():
 			return
 		}
--- a/service/telemetry/telemetry.go
+++ b/service/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -23,8 +24,9 @@
 // quantiles are those that histograms are shown by.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
-// Serve serves a registry at an IP:port until ctx ends.
-func Serve(ctx context.Context, address string, registry metrics.Registry) error {
+// Serve serves a registry at an IP:port until ctx ends, and profiles of the process
+// (processor, heap) under /debug/pprof/ if asked to.
+func Serve(ctx context.Context, address string, registry metrics.Registry, profiles bool) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen for metrics on %s", address)
@@ -34,6 +36,10 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		Write(w, registry)
 	})
+	if profiles {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	go func() {
 		<-ctx.Done()
--- a/service/telemetry/telemetry_test.go
+++ b/service/telemetry/telemetry_test.go
@@ -1,11 +1,17 @@
 package telemetry
 
 import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 )
 
 func TestWritesEachKind(t *testing.T) {
@@ -21,3 +27,45 @@
 		is.True(strings.Contains(b.String(), line))
 	}
 }
+
+// TestTrafficIsLoggedByRate: an on-call engineer sees from the log alone what links cost.
+func TestTrafficIsLoggedByRate(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	traffic := NewTraffic("agents", metrics.NewRegistry())
+	begin := time.Unix(100, 0)
+	traffic.Log(begin, log, "entry: traffic", 3)
+	for range 50 {
+		traffic.Sent()
+	}
+	traffic.Received()
+	traffic.Log(begin.Add(trafficEvery-time.Second), log, "entry: traffic", 3)
+	is.Equal(out.Len(), 0)
+	traffic.Log(begin.Add(trafficEvery), log, "entry: traffic", 3)
+	is.True(strings.Contains(out.String(), `"with":"agents","links":3,"sent_per_s":5,"received_per_s":0.1,"message":"entry: traffic"`))
+}
+
+// TestProfilesAreServedOnlyIfAskedFor: they cost processor time.
+func TestProfilesAreServedOnlyIfAskedFor(t *testing.T) {
+	is := is.New(t)
+	for _, asked := range []bool{false, true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		address := l.Addr().String()
+		is.NoErr(l.Close())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- Serve(ctx, address, metrics.NewRegistry(), asked) }()
+		resp, err := http.Get("http://" + address + "/debug/pprof/heap")
+		for tries := 0; err != nil && tries < 1000; tries++ {
+			time.Sleep(5 * time.Millisecond)
+			resp, err = http.Get("http://" + address + "/debug/pprof/heap")
+		}
+		is.NoErr(err)
+		is.Equal(resp.StatusCode == http.StatusOK, asked)
+		is.NoErr(resp.Body.Close())
+		cancel()
+		is.NoErr(<-ended)
+	}
+}
