core/runner: a waiting run does not start while its entry has no link

Run 1 twice is two entries with the job: its caller's connection was reset while the request was read, and the first entry's word that the caller had gone could not reach the agent where the run waited for room, whose link was reset as well. Ruled out by reading: a start sent to two agents by one entry (each start raises the run), a link's message handled after its successor's (one goroutine a link). Change: a run that waits is not started while its entry has no link. Test: TestRunDoesNotStartWhileItsEntryHasNoLink.

--- a/core/runner/core_test.go
+++ b/core/runner/core_test.go
@@ -324,3 +324,28 @@
 	is.Equal(c.Announced(after(1), worker("w1"), 5), false)
 	is.True(c.Announced(after(1), worker("w2"), 5))
 }
+
+// TestRunDoesNotStartWhileItsEntryHasNoLink: it could not be taken back. Others go on.
+func TestRunDoesNotStartWhileItsEntryHasNoLink(t *testing.T) {
+	r := newRig(t)
+	other := runs.Entry{Address: "e:2", Incarnation: 8}
+	r.LinkUp(start, 2, other)
+	first := r.send(start, "t1", "t2", "t3") // t3 waits for room
+	r.is.Equal(len(first.Orders), 2)
+	r.LinkDown(after(10), 1)
+	r.Receive(after(10), 2, &runs.ToAgent{Clock: after(10).UnixNano(), Starts: []runs.Start{{
+		Key: key("t4"), Need: small, Estimate: 100 * time.Millisecond, Slack: time.Second, Patience: time.Second,
+	}}})
+	for _, o := range first.Orders {
+		r.Ordered(after(11), o, Answer{Verdict: Accepted, Clock: 5011})
+	}
+	r.lookAt(after(20), Listing{Ended: []Ended{{Number: 1, Key: key("t1"), How: runs.Done}, {Number: 2, Key: key("t2"), How: runs.Done}}})
+	out := r.Flush(after(20))
+	r.is.Equal(len(out.Orders), 1)
+	r.is.Equal(out.Orders[0].Key, key("t4"))
+	r.LinkUp(after(60), 3, entry) // back in time
+	r.Receive(after(61), 3, &runs.ToAgent{Clock: after(61).UnixNano(), Owned: []runs.Owned{{Key: key("t3"), Need: small}}})
+	out = r.Flush(after(61))
+	r.is.Equal(len(out.Orders), 1)
+	r.is.Equal(out.Orders[0].Key, key("t3"))
+}
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -114,6 +114,10 @@
 
 // startWaiting orders the start of waiting runs that fit, the most urgent first.
 // A smaller run may pass one that does not fit, so that no room stays unused.
+//
+// A run whose entry has no link does not start: the entry could not take it back. It may
+// be gone, or its caller may have left it for another entry while the link was broken;
+// what starts then is work in vain, or runs beside the same task of the other entry.
 func (c *Core) startWaiting() {
 	if len(c.queue) == 0 || !c.worker.synced || c.outOfUse() {
 		return
@@ -121,6 +125,10 @@
 	left := c.roomLeft()
 	var still waiting
 	for _, r := range c.queue {
+		if !c.linked(r.owner) {
+			still = append(still, r)
+			continue
+		}
 		if !left.Fits(r.need) {
 			still = append(still, r)
 			if !c.settings.Policy.Has(policy.Passing) {
@@ -134,6 +142,16 @@
 	c.queue = still
 }
 
+// linked reports whether a link to an entry's process is open.
+func (c *Core) linked(entry runs.Entry) bool {
+	for l := range c.links.Values() {
+		if l.entry.Incarnation == entry.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // order has the worker start a run.
 func (c *Core) order(r *run) {
 	r.phase = phaseOrdered
