Short entries: bounded by agent, not after a cut or a suspension

Cause, by reading: after a cut through the fleet a third of the entries would be short at once, each agent would open links to all of them; an entry that wakes from a suspension has no links for a moment and would call all agents. Tests: sharing of short entries, suspension and cut; subset schedules pass.

--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -87,15 +87,16 @@
 
 // Short reports whether so few agents work with this entry of their own choice that it
 // has to ask for all of them. In a fleet with many entries and few agents some entries
-// would have none: what they own would never run.
-func (c *Core) Short() bool {
+// would have none: what they own would never run. An entry that no other one hears is
+// not short: it is cut off, and its agents come back by themselves.
+func (c *Core) Short(heard bool) bool {
 	own := 0
 	for a := range c.agents.Values() {
 		if a.greeted && !a.worker.OnDemand && !a.worker.Released {
 			own++
 		}
 	}
-	if own >= fewAgents || c.enoughAt.IsZero() {
+	if own >= fewAgents || c.enoughAt.IsZero() || !heard {
 		c.enoughAt = c.now
 	}
 	return c.now.Sub(c.enoughAt) > shortAfter
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -221,6 +221,7 @@
 // resume handles that the entry was suspended.
 func (c *Core) resume(gap time.Duration) {
 	c.settledAt = c.now.Add(c.settings.Settling)
+	c.enoughAt = c.now // its agents have closed their links and come back
 	c.note(Note{Event: "suspended", Age: gap})
 	if gap < c.settings.OwnerLease {
 		return
--- a/core/batch/short_test.go
+++ b/core/batch/short_test.go
@@ -12,11 +12,23 @@
 	for now := r.now; now.Before(after(ms)); now = now.Add(beatEvery) {
 		r.Tick(now)
 		r.flush(now)
-		short = r.Short()
+		short = r.Short(true)
 	}
 	return short
 }
 
+// TestEntryThatWasAwayGivesItsAgentsTime: after a suspension or a cut all agents of the
+// fleet would come at once, for a moment.
+func TestEntryThatWasAwayGivesItsAgentsTime(t *testing.T) {
+	r := newRig(t, 0)
+	r.is.True(r.shortAt(3200))
+	r.is.True(!r.Short(false)) // nobody hears it
+	r.is.True(!r.shortAt(6100))
+	r.is.True(r.shortAt(6400))
+	r.Tick(after(9000)) // it was suspended
+	r.is.True(!r.Short(true))
+}
+
 // TestEntryWithoutAgentsAsksForAll: agents that come only since they are asked for do not
 // count, or they would go as soon as they had come.
 func TestEntryWithoutAgentsAsksForAll(t *testing.T) {
--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -58,6 +58,13 @@
 	return append(slices.Clone(near[:nearby]), far[:remote]...)
 }
 
+// OnDemand returns those of the entries which are short of agents that an agent works
+// with besides: no more than of its own choice. After a cut through the fleet many
+// entries may be short at once, and each agent would open links to all of them.
+func OnDemand(agent string, short []runs.Entry) []runs.Entry {
+	return rank(agent, short)[:min(len(short), Total)]
+}
+
 // rank orders entries by their rendezvous score for an agent, the highest first.
 func rank(agent string, known []runs.Entry) []runs.Entry {
 	type scored struct {
--- a/core/subset/subset_test.go
+++ b/core/subset/subset_test.go
@@ -97,6 +97,25 @@
 	}
 }
 
+// TestShortEntriesShareTheAgents: many at once do not bring each agent to all of them, and
+// each gets some.
+func TestShortEntriesShareTheAgents(t *testing.T) {
+	is := is.New(t)
+	short := fleet(20, 6)
+	links := make(map[string]int)
+	for i := range 240 {
+		chosen := OnDemand(agentName(i), short)
+		is.Equal(len(chosen), Total)
+		for _, e := range chosen {
+			links[e.Address]++
+		}
+	}
+	for _, e := range short {
+		is.True(links[e.Address] >= 240*Total/20/2)
+	}
+	is.Equal(len(OnDemand("a", short[:2])), 2)
+}
+
 func TestNeighboursAreFewAndReachAll(t *testing.T) {
 	is := is.New(t)
 	for _, n := range []int{1, 2, 3, 4, 14, 55, 200} {
--- a/lab/emulator/processes.go
+++ b/lab/emulator/processes.go
@@ -107,7 +107,7 @@
 	all := a.core.Unsettled()
 	entries := make(map[string]bool)
 	for _, e := range a.w.entries {
-		if all || a.chosen[e.address] || !e.dead && e.core.Short() {
+		if all || a.chosen[e.address] || !e.dead && e.core.Short(!e.cut) {
 			entries[e.address] = true
 		}
 	}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -215,7 +215,7 @@
 	e.core.Tick(now)
 	e.keeper.tick(now)
 	e.workers.Store(int64(e.core.Workers()))
-	e.peers.setShort(e.core.Short())
+	e.peers.setShort(e.core.Short(e.peers.exchanges() > 0))
 	e.publish()
 }
 
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -135,9 +135,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	wanted := d.wanted()
+	onDemand := d.onDemand(wanted)
 	for address, c := range d.contacts {
-		chosen := wanted[address]
-		d.want(c, chosen || c.entry.Short, !chosen)
+		d.want(c, wanted[address] || onDemand[address], onDemand[address])
 		if c.wanted && !c.kept && ctx.Err() == nil {
 			c.kept = true
 			c.lostAt = time.Now()
@@ -168,6 +168,22 @@
 	return wanted
 }
 
+// onDemand returns the addresses of entries that are worked with besides the wanted ones,
+// since they are short of agents.
+func (d *directory) onDemand(wanted map[string]bool) map[string]bool {
+	var short []runs.Entry
+	for address, c := range d.contacts {
+		if c.entry.Short && !wanted[address] {
+			short = append(short, c.entry)
+		}
+	}
+	chosen := make(map[string]bool)
+	for _, e := range subset.OnDemand(d.agent.settings.Name, short) {
+		chosen[e.Address] = true
+	}
+	return chosen
+}
+
 func (d *directory) choice(entries []runs.Entry) []runs.Entry {
 	if !d.settled {
 		return entries
@@ -178,7 +194,6 @@
 // want notes whether an entry is worked with, and why, and has an open link released or
 // retained.
 func (d *directory) want(c *contact, wanted, onDemand bool) {
-	onDemand = onDemand && wanted
 	if c.wanted == wanted && c.onDemand == onDemand {
 		return
 	}
