--- a/lab/emulator/durable_test.go
+++ b/lab/emulator/durable_test.go
@@ -64,22 +64,11 @@
 }
 
 func TestDurableSchedules(t *testing.T) {
-	first, last := uint64(1), uint64(*seeds)/3
-	if *oneSeed != 0 {
-		first, last = *oneSeed, *oneSeed
-	}
 	accepted, done := 0, 0
-	for seed := first; seed <= last; seed++ {
-		w := playDurable(seed)
+	playSeeds(t, *seeds/3, playDurable, func(w *world) {
 		accepted += len(w.checks.accepted)
 		done += checkEnded(w)
-		for _, b := range w.checks.broken {
-			t.Errorf("seed %d: %s", seed, b)
-		}
-		for _, line := range w.lines {
-			t.Log(line)
-		}
-	}
+	})
 	t.Logf("%d durable jobs accepted, %d ended", accepted, done)
 }
 
--- a/lab/emulator/schedule_test.go
+++ b/lab/emulator/schedule_test.go
@@ -136,23 +136,32 @@
 }
 
 func TestSchedules(t *testing.T) {
-	first, last := uint64(1), uint64(*seeds)
+	done, starts := 0, 0
+	playSeeds(t, *seeds, playSchedule, func(w *world) {
+		done += w.checks.done
+		starts += w.checks.starts
+	})
+	t.Logf("%d jobs done, %d starts", done, starts)
+}
+
+// playSeeds plays a schedule with each seed up to the last, or with the one that was asked
+// for, looks at each outcome and reports the broken promises.
+func playSeeds(t *testing.T, last int, play func(seed uint64) *world, look func(*world)) {
+	t.Helper()
+	first, until := uint64(1), uint64(last)
 	if *oneSeed != 0 {
-		first, last = *oneSeed, *oneSeed
+		first, until = *oneSeed, *oneSeed
 	}
-	done, starts := 0, 0
-	for seed := first; seed <= last; seed++ {
-		w := playSchedule(seed)
+	for seed := first; seed <= until; seed++ {
+		w := play(seed)
+		look(w)
 		for _, b := range w.checks.broken {
 			t.Errorf("seed %d: %s", seed, b)
 		}
 		for _, line := range w.lines {
 			t.Log(line)
 		}
-		done += w.checks.done
-		starts += w.checks.starts
 	}
-	t.Logf("%d jobs done, %d starts", done, starts)
 }
 
 // TestCalm shows that the schedules serve work: without faults nearly all jobs end.
--- a/lab/emulator/subset_test.go
+++ b/lab/emulator/subset_test.go
@@ -56,24 +56,12 @@
 // TestSubsetSchedules: entries that see a part of the agents keep all promises while
 // agents turn to other entries, and what they accepted for good ends.
 func TestSubsetSchedules(t *testing.T) {
-	first, last := uint64(1), uint64(*seeds)/3
-	if *oneSeed != 0 {
-		first, last = *oneSeed, *oneSeed
-	}
 	accepted, done := 0, 0
-	for seed := first; seed <= last; seed++ {
-		w := playSubsets(seed)
-		checkEnded(w)
-		accepted += len(w.checks.accepted)
+	playSeeds(t, *seeds/3, playSubsets, func(w *world) {
+		accepted += checkEnded(w)
 		done += w.checks.done
-		for _, b := range w.checks.broken {
-			t.Errorf("seed %d: %s", seed, b)
-		}
-		for _, line := range w.lines {
-			t.Log(line)
-		}
-	}
-	t.Logf("%d durable jobs accepted, %d awaited jobs done", accepted, done)
+	})
+	t.Logf("%d durable jobs ended, %d awaited jobs done", accepted, done)
 }
 
 // TestTurningAgentsServe: without faults, turning alone loses no job.
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -2,7 +2,8 @@
 // sockets, timers and logs.
 //
 // Goroutines by duty: the loop owns the core; each agent's link has a reader and
-// a writer; each known entry has one that gossips; one follows the configuration.
+// a writer; each exchange with another entry likewise; one finds the other entries and
+// judges who is gone; one follows the configuration.
 // They meet at bounded rings, and the loop never blocks on any of them.
 package batch
 
--- a/service/batch/membership_test.go
+++ b/service/batch/membership_test.go
@@ -1,16 +1,9 @@
 package batch
 
 import (
-	"context"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-	"github.com/rcrowley/go-metrics"
-
-	"peridotpick.example/common/logs"
-	core "peridotpick.example/core/batch"
-	"peridotpick.example/service/transport"
 )
 
 // startMany runs entries that know the first one by its seed, and returns functions
@@ -20,28 +13,10 @@
 	entries, stops := make([]*Entry, 0, n), make([]func(), 0, n)
 	var seeds []string
 	for range n {
-		e, err := New(Settings{
-			Name: "e", Address: freeAddress(t), Seeds: seeds,
-			Core: core.Settings{DataCentre: "d", StallLimit: time.Hour, Beat: time.Second, IdleBeat: time.Second},
-		}, Deps{
-			Logs: logs.Discard(), Transport: transport.New(nil), Store: &fakeStore{docs: make(chan *Document, 8)}, Metrics: metrics.NewRegistry(),
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
+		e, stop := launch(t, &fakeStore{docs: make(chan *Document, 8)}, seeds...)
 		if seeds == nil {
 			seeds = []string{e.self.Address}
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			if err := e.Run(ctx); err != nil {
-				t.Error(err)
-			}
-		}()
-		stop := func() { cancel(); <-ended }
-		t.Cleanup(stop)
 		entries, stops = append(entries, e), append(stops, stop)
 	}
 	return entries, stops
--- a/service/batch/peers_test.go
+++ b/service/batch/peers_test.go
@@ -81,8 +81,15 @@
 	return startOn(t, store, seeds...), store
 }
 
-// startOn runs an entry on a store.
+// startOn runs an entry on a store until the test ends.
 func startOn(t *testing.T, store Store, seeds ...string) *Entry {
+	t.Helper()
+	e, _ := launch(t, store, seeds...)
+	return e
+}
+
+// launch runs an entry on a store until stop, or until the test ends.
+func launch(t *testing.T, store Store, seeds ...string) (e *Entry, stop func()) {
 	t.Helper()
 	e, err := New(Settings{
 		Name: "e", Address: freeAddress(t), Seeds: seeds,
@@ -92,10 +99,16 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- e.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-ended })
-	return e
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := e.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	stop = func() { cancel(); <-ended }
+	t.Cleanup(stop)
+	return e, stop
 }
 
 func waitFor(t *testing.T, what string, ok func() bool) {
