service: an exchange closed on purpose is not taken for lost; the agent's loop does not wait for its directory

A message that came between the decision to close an exchange and its end made the other entry count as a neighbour again, and as gone half a second later. The agent's loop took the lock of the directory, which is held while events are handed to the loop: with a full ring both would wait for ever.

--- a/service/batch/exchange.go
+++ b/service/batch/exchange.go
@@ -181,7 +181,9 @@
 	now := time.Now()
 	p.mu.Lock()
 	x.address, x.heardAt = msg.Self.Entry.Address, now
-	p.direct[x.address] = now
+	if !x.closing {
+		p.direct[x.address] = now
+	}
 	ch := p.view.Hear(now, append(msg.Members, msg.Self))
 	p.spread(ch, x)
 	if p.view.Gone(x.address) {
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	core "peridotpick.example/core/runner"
@@ -36,9 +37,10 @@
 	mu    sync.Mutex
 	// contacts are the known entries by their address.
 	contacts map[string]*contact
-	// settled is false while ends are kept whose entry is not linked.
-	settled bool
-	wake    chan struct{}
+	// unsettled is true while ends are kept whose entry is not linked. The loop sets it; it
+	// must not wait for mu, which is held while events are handed to the loop.
+	unsettled atomic.Bool
+	wake      chan struct{}
 }
 
 // contact is a known entry.
@@ -55,7 +57,7 @@
 }
 
 func newDirectory(a *Agent) *directory {
-	return &directory{agent: a, contacts: make(map[string]*contact), settled: true, wake: make(chan struct{}, 1)}
+	return &directory{agent: a, contacts: make(map[string]*contact), wake: make(chan struct{}, 1)}
 }
 
 func (d *directory) run(ctx context.Context) error {
@@ -122,10 +124,7 @@
 // settle tells whether all ends that are kept have found their entry. While they have
 // not, the agent works with all entries.
 func (d *directory) settle(settled bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.settled != settled {
-		d.settled = settled
+	if d.unsettled.Swap(!settled) == settled {
 		d.signal()
 	}
 }
@@ -185,7 +184,7 @@
 }
 
 func (d *directory) choice(entries []runs.Entry) []runs.Entry {
-	if !d.settled {
+	if d.unsettled.Load() {
 		return entries
 	}
 	return subset.Choose(d.agent.settings.Name, d.agent.settings.DataCentre, entries)
