--- a/core/runner/release_test.go
+++ b/core/runner/release_test.go
@@ -60,3 +60,21 @@
 	r.send(after(200), "t1")
 	r.is.Equal(r.load(r.links.Get(1)).Sharers, 4)
 }
+
+// TestKeptEndsAreUnsettledAfterAWhile: the entry that has taken their job over may be one
+// that this agent does not work with.
+func TestKeptEndsAreUnsettledAfterAWhile(t *testing.T) {
+	r := newRig(t)
+	r.Receive(start, 1, &runs.ToAgent{Clock: start.UnixNano(), Starts: []runs.Start{{
+		Key: key("t1"), Need: small, Estimate: askAgain, Slack: askAgain, Patience: askAgain, Durable: true,
+	}}})
+	order := r.Flush(start).Orders[0]
+	r.Ordered(after(1), order, Answer{Verdict: Accepted, Clock: 5001})
+	r.lookAt(after(10), Listing{Ended: []Ended{{Number: 1, Key: key("t1"), How: runs.Done}}})
+	r.Tick(after(400))
+	r.is.True(!r.Unsettled())
+	r.Tick(after(600))
+	r.is.True(r.Unsettled())
+	r.Receive(after(610), 1, &runs.ToAgent{Clock: after(610).UnixNano(), Noted: []runs.Key{key("t1")}})
+	r.is.True(!r.Unsettled())
+}
