--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -40,7 +40,7 @@
 	entry *Entry
 	mu    sync.Mutex
 	view  *membership.View
-	// candidates are addresses from the settings and the registry.
+	// candidates are addresses from the registry that may be out of reach.
 	candidates map[string]bool
 	// contacts are the addresses that a goroutine works for.
 	contacts map[string]*contact
