Drained data centres: agents start nothing there, entries place elsewhere

Cause: the operator's rows for evacuated data centres were skipped by key; nothing in the code knew a drain. Ways weighed: entries alone enforce it (an entry that is cut off from the store goes on sending, and its agent is in touch); each agent follows the store (at 2,700 agents 1,350 to 1,800 reads a second of the 2,000 there are, if silence is to be found out in time); agents enforce, entries pass the view on and agents ask the store only while no entry vouches for it. The last is built: core/drains orders views by the store's version, ages say how fresh a view is, exchanges and links carry both. Entries count no room there; entries of the drained data centre get agents elsewhere (subset.Adopted). An announcement without a data centre is now taken for the agent's own.

--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -68,6 +68,7 @@
 func superviseSettings(file *boot.File) runner.Settings {
 	decisions := core.Standard()
 	decisions.Agent = file.Name
+	decisions.DrainsWithin = file.DrainsWithin(decisions.DrainsWithin)
 	decisions.OwnerLease, decisions.WorkerLease = file.OwnerLease(), file.WorkerLease()
 	return runner.Settings{
 		Name: file.Name, DataCentre: file.DataCentre, Seeds: file.EntrySeeds(), DrainTimeout: file.Grace() - drainReserve, Core: decisions,
--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -32,7 +32,7 @@
 	likely := c.likelyWait(p.delay)
 	switch {
 	case len(p.places) == 0 && p.missing > 0:
-		return &refusal{errkind.Overloaded, "no worker", retrySoon, c.newborn(j.queue.Service)}
+		return &refusal{errkind.Overloaded, c.noWorkerReason(j.queue.Service), retrySoon, c.newborn(j.queue.Service)}
 	case likely > slack:
 		return &refusal{errkind.Overloaded, "no room in time", retrySoon, true}
 	case c.settings.Policy.Has(policy.Yield) && c.yields.givesWay(c.now, j.queue):
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -30,6 +30,8 @@
 	lastSent time.Time
 	runs     int
 	probedAt time.Time
+	// drainsToldAt is when it was last told which data centres are drained.
+	drainsToldAt time.Time
 	// trial is what the plan of number plan has put here so far.
 	trial trial
 	plan  uint64
@@ -301,6 +303,7 @@
 	}
 	msg := a.out
 	msg.Clock = a.clock + int64(c.now.Sub(a.clockAt))
+	c.tellDrains(a, &msg)
 	a.out = runs.ToAgent{}
 	a.dirty = false
 	a.lastSent = c.now
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -29,6 +29,7 @@
 	"peridotpick.example/common/ordered"
 	"peridotpick.example/common/room"
 	"peridotpick.example/core/catalog"
+	"peridotpick.example/core/drains"
 	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
@@ -184,6 +185,8 @@
 	enoughAt time.Time
 	// ownedUntil is until when the entry is sure to own its durable jobs.
 	ownedUntil time.Time
+	// drains are the data centres whose workers get nothing new.
+	drains drains.State
 	// unrecorded are durable jobs with something that is not stored.
 	unrecorded ordered.Map[string, *job]
 	// backlogged is set while durable tasks wait for room; backlogAt is when they
--- a/core/batch/defer.go
+++ b/core/batch/defer.go
@@ -44,7 +44,7 @@
 // newborn reports whether this entry began a moment ago and has not heard of any
 // worker yet: it does not know that it cannot serve.
 func (c *Core) newborn(service string) bool {
-	return c.now.Sub(c.startedAt) < learning && len(c.candidates(service)) == 0
+	return c.now.Sub(c.startedAt) < learning && !c.knowsWorker(service)
 }
 
 // learning is the time in which agents find an entry that has begun: a few of their
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -89,12 +89,12 @@
 	return true
 }
 
-// candidates returns the usable agents of a service.
+// candidates returns the usable agents of a service in data centres that are not drained.
 func (c *Core) candidates(service string) []*agent { return c.appendCandidates(nil, service) }
 
 func (c *Core) appendCandidates(list []*agent, service string) []*agent {
 	for a := range c.agents.Values() {
-		if a.worker.Service == service && a.usable(c.now, c.settings.SilentAfter) {
+		if a.worker.Service == service && a.usable(c.now, c.settings.SilentAfter) && !c.drains.Has(a.worker.DataCentre) {
 			list = append(list, a)
 		}
 	}
--- /dev/null
+++ b/core/drains/drains_test.go
@@ -0,0 +1,91 @@
+package drains
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peridotpick.example/wire/runs"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestNewerViewReplacesTheOlderOne(t *testing.T) {
+	is := is.New(t)
+	var s State
+	is.True(s.Learn(start, runs.Drains{Version: 5, DataCentres: []string{"a"}}))
+	is.True(s.Has("a"))
+	is.True(!s.Learn(start, runs.Drains{Version: 4})) // taken back before it was set again
+	is.True(s.Has("a"))
+	is.True(s.Learn(start, runs.Drains{Version: 9}))
+	is.True(!s.Has("a"))
+	is.True(!s.Learn(start, runs.Drains{Version: 5, DataCentres: []string{"a"}}))
+	is.True(!s.Has("a"))
+}
+
+func TestUnknownViewSaysNothing(t *testing.T) {
+	is := is.New(t)
+	var s State
+	is.Equal(s.View(start).Version, uint64(0))
+	s.Learn(start, runs.Drains{Version: 2, DataCentres: []string{"a"}})
+	is.True(!s.Learn(start, runs.Drains{})) // from a process that knows nothing
+	is.Equal(s.View(start).DataCentres, []string{"a"})
+}
+
+func TestAgeIsThatOfTheNewestConfirmation(t *testing.T) {
+	is := is.New(t)
+	var s State
+	s.Learn(start, runs.Drains{Version: 5, Age: time.Second})
+	is.Equal(s.Age(start), time.Second)
+	s.Learn(start.Add(time.Second), runs.Drains{Version: 5, Age: 5 * time.Second}) // heard over a long way
+	is.Equal(s.Age(start.Add(time.Second)), 2*time.Second)
+	s.Learn(start.Add(time.Second), runs.Drains{Version: 4}) // an older view confirms nothing
+	is.Equal(s.Age(start.Add(time.Second)), 2*time.Second)
+	s.Learn(start.Add(time.Second), runs.Drains{Version: 6})
+	is.Equal(s.Age(start.Add(time.Second)), time.Duration(0))
+}
+
+// TestExchangedViewsAgree: processes that exchange what they know in any order
+// never go back, and agree with the newest in the end.
+func TestExchangedViewsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := [][]string{nil}
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			drained := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.ID[string]).Draw(t, "drained")
+			slices.Sort(drained)
+			history = append(history, drained)
+		}
+		view := func(version int) runs.Drains {
+			return runs.Drains{Version: uint64(version), DataCentres: history[version]}
+		}
+		states := make([]State, 4)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			to := &states[rapid.IntRange(0, 3).Draw(t, "to")]
+			before := to.version
+			if rapid.Bool().Draw(t, "fromStore") {
+				to.Learn(start, view(rapid.IntRange(0, len(history)-1).Draw(t, "version")))
+			} else {
+				to.Learn(start, states[rapid.IntRange(0, 3).Draw(t, "from")].View(start))
+			}
+			if to.version < before {
+				t.Fatalf("went back from %d to %d", before, to.version)
+			}
+			if !slices.Equal(to.dataCentres, history[to.version]) {
+				t.Fatalf("holds %v, version %d is %v", to.dataCentres, to.version, history[to.version])
+			}
+		}
+		newest := view(len(history) - 1)
+		states[0].Learn(start, newest)
+		for i := range states[1:] {
+			states[i+1].Learn(start, states[i].View(start))
+		}
+		for i := range states {
+			if !slices.Equal(states[i].dataCentres, newest.DataCentres) {
+				t.Fatalf("process %d holds %v", i, states[i].dataCentres)
+			}
+		}
+	})
+}
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -22,6 +22,7 @@
 
 	"peridotpick.example/common/ordered"
 	"peridotpick.example/common/room"
+	"peridotpick.example/core/drains"
 	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
@@ -45,6 +46,9 @@
 	// LateFactor is how many times its estimate a run may take before its entry is
 	// told of its progress.
 	LateFactor float64
+	// DrainsWithin is the age of what is known of drained data centres from which the
+	// store is asked itself.
+	DrainsWithin time.Duration
 	// Policy says which mechanisms are in force; production runs with all.
 	Policy policy.Policy
 }
@@ -77,6 +81,8 @@
 	// Age is the age of the input that decided: the time since the run was
 	// ordered or since its owner was heard.
 	Age time.Duration
+	// Version is that of the view of drained data centres, where the note is about that.
+	Version uint64
 }
 
 // link is one entry's link.
@@ -111,10 +117,15 @@
 	// held are ends that the worker must go on listing, by their number.
 	held ordered.Map[int64, *heldEnd]
 	// lookedAt is when the last look was made.
-	lookedAt    time.Time
-	recent      recentEnds
-	pace        pace
-	draining    bool
+	lookedAt time.Time
+	recent   recentEnds
+	pace     pace
+	draining bool
+	drains   drains.State
+	// emptied is true once nothing runs here any more since the data centre was drained.
+	emptied bool
+	// startedAt is the time of the first event.
+	startedAt   time.Time
 	loadChanged bool
 	// told is the load of the present flush; nil until a link needs it.
 	told *runs.Load
@@ -233,6 +244,9 @@
 		return
 	}
 	c.renew(l, msg.Clock)
+	if msg.Drains != nil {
+		c.takeDrains(*msg.Drains, msg.Clock) // before the starts of the same message
+	}
 	if msg.Owned != nil {
 		c.pendingOwned.Put(id, msg.Owned)
 		c.reconcile()
@@ -269,6 +283,9 @@
 // Tick handles the passing of time.
 func (c *Core) Tick(now time.Time) {
 	c.now = now
+	if c.startedAt.IsZero() {
+		c.startedAt = now
+	}
 	c.expireOwners()
 	c.expireLeft()
 	c.expireWorker()
@@ -280,6 +297,7 @@
 	c.askAboutHeld()
 	c.forgetLeases()
 	c.closeReleased()
+	c.noteEmptied()
 }
 
 // expireOwners ends the runs of entries whose lease is over.
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -100,6 +100,8 @@
 	switch {
 	case c.draining || c.worker.info.Draining || l.released():
 		return runs.Draining
+	case c.drained():
+		return runs.Drained
 	case !c.worker.synced || c.outOfUse():
 		return runs.NoWorker
 	case !c.leased(r.owner):
@@ -119,7 +121,7 @@
 // be gone, or its caller may have left it for another entry while the link was broken;
 // what starts then is work in vain, or runs beside the same task of the other entry.
 func (c *Core) startWaiting() {
-	if len(c.queue) == 0 || !c.worker.synced || c.outOfUse() {
+	if len(c.queue) == 0 || !c.worker.synced || c.outOfUse() || c.drained() {
 		return
 	}
 	left := c.roomLeft()
--- a/core/runner/standard.go
+++ b/core/runner/standard.go
@@ -14,5 +14,7 @@
 		// Some four rounds of a full worker.
 		QueueLimit: 64,
 		LateFactor: 1.5,
+		// Twice the time in which an entry in reach of the store confirms its view.
+		DrainsWithin: 3 * time.Second,
 	}
 }
--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -37,13 +37,42 @@
 	Nearby = 4
 )
 
+// Adopted is how many entries of each drained data centre an agent elsewhere works with
+// at least. Their callers go on handing jobs to them, and two thirds of the agents that
+// they knew may give them no room any more.
+const Adopted = 2
+
 // Choose returns the entries that an agent in a data centre works with, out of those
-// known, by rank.
-func Choose(agent, dataCentre string, known []runs.Entry) []runs.Entry {
+// known, by rank, while some data centres are drained.
+func Choose(agent, dataCentre string, known []runs.Entry, drained []string) []runs.Entry {
 	if len(known) <= Total {
 		return known
 	}
 	ranked := rank(agent, known)
+	chosen := own(dataCentre, ranked)
+	for _, dc := range drained {
+		chosen = adopt(chosen, ranked, dc)
+	}
+	return chosen
+}
+
+// adopt adds the entries of a data centre that are missing, by rank.
+func adopt(chosen, ranked []runs.Entry, dataCentre string) []runs.Entry {
+	there := 0
+	for _, e := range ranked {
+		if e.DataCentre != dataCentre || there == Adopted {
+			continue
+		}
+		there++
+		if !slices.Contains(chosen, e) {
+			chosen = append(chosen, e)
+		}
+	}
+	return chosen
+}
+
+// own returns the choice while no data centre is drained.
+func own(dataCentre string, ranked []runs.Entry) []runs.Entry {
 	var near, far []runs.Entry
 	for _, e := range ranked {
 		if e.DataCentre == dataCentre {
--- a/core/subset/subset_test.go
+++ b/core/subset/subset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -23,7 +24,7 @@
 func TestSmallFleetsAreLinkedCompletely(t *testing.T) {
 	is := is.New(t)
 	for n := range Total + 1 {
-		is.Equal(len(Choose("a", "dc0", fleet(n, 4))), n)
+		is.Equal(len(Choose("a", "dc0", fleet(n, 4), nil)), n)
 	}
 }
 
@@ -31,7 +32,7 @@
 	is := is.New(t)
 	for i := range 40 {
 		near := 0
-		chosen := Choose(agentName(i), "dc1", fleet(120, 6))
+		chosen := Choose(agentName(i), "dc1", fleet(120, 6), nil)
 		is.Equal(len(chosen), Total)
 		for _, e := range chosen {
 			if e.DataCentre == "dc1" {
@@ -40,8 +41,8 @@
 		}
 		is.Equal(near, Nearby)
 	}
-	is.Equal(len(Choose("a", "dc0", fleet(55, 1))), Total) // no other data centre
-	is.Equal(len(Choose("a", "elsewhere", fleet(55, 5))), Total)
+	is.Equal(len(Choose("a", "dc0", fleet(55, 1), nil)), Total) // no other data centre
+	is.Equal(len(Choose("a", "elsewhere", fleet(55, 5), nil)), Total)
 }
 
 // TestEveryEntryHasAgents: no entry is left without, and none has far more than its part.
@@ -50,7 +51,7 @@
 	known := fleet(55, 6)
 	links := make(map[string]int)
 	for i := range 240 {
-		for _, e := range Choose(agentName(i), fmt.Sprint("dc", i%6), known) {
+		for _, e := range Choose(agentName(i), fmt.Sprint("dc", i%6), known, nil) {
 			links[e.Address]++
 		}
 	}
@@ -67,7 +68,7 @@
 		known := fleet(n, 6)
 		total := 0
 		for i := range 4 * n {
-			total += len(Choose(agentName(i), fmt.Sprint("dc", i%6), known))
+			total += len(Choose(agentName(i), fmt.Sprint("dc", i%6), known, nil))
 		}
 		is.Equal(total/n, 4*Total)
 	}
@@ -80,11 +81,11 @@
 	for i := range 240 {
 		centre := fmt.Sprint("dc", i%6)
 		before := make(map[string]bool)
-		for _, e := range Choose(agentName(i), centre, known) {
+		for _, e := range Choose(agentName(i), centre, known, nil) {
 			before[e.Address] = true
 		}
 		fresh := 0
-		for _, e := range Choose(agentName(i), centre, known[1:]) {
+		for _, e := range Choose(agentName(i), centre, known[1:], nil) {
 			if !before[e.Address] {
 				fresh++
 			}
@@ -149,3 +150,30 @@
 	is.Equal(len(Neighbours("a", nil)), 0)
 	is.Equal(Neighbours("a", []string{"a", "b", "b"}), []string{"b"})
 }
+
+// TestEntriesOfADrainedDataCentreReachRoomElsewhere: their callers stay with them, and
+// what two thirds of their agents offered is gone.
+func TestEntriesOfADrainedDataCentreReachRoomElsewhere(t *testing.T) {
+	is := is.New(t)
+	known := fleet(55, 6)
+	links := make(map[string]int)
+	for i := range 240 {
+		dc := fmt.Sprint("dc", i%6)
+		if dc == "dc2" {
+			continue // its own workers take nothing
+		}
+		chosen := Choose(agentName(i), dc, known, []string{"dc2"})
+		is.True(len(chosen) <= Total+Adopted)
+		for _, e := range Choose(agentName(i), dc, known, nil) {
+			is.True(slices.Contains(chosen, e)) // nothing is given up for it
+		}
+		for _, e := range chosen {
+			links[e.Address]++
+		}
+	}
+	for _, e := range known {
+		if e.DataCentre == "dc2" {
+			is.True(links[e.Address] >= 200*Total/55) // the part that all have on a calm day
+		}
+	}
+}
--- a/lab/emulator/checks.go
+++ b/lab/emulator/checks.go
@@ -45,6 +45,7 @@
 func (c *checks) startedOn(key runs.Key, k *worker) {
 	c.starts++
 	c.restarts(key)
+	c.startedWhileDrained(key, k)
 	job := key.Job()
 	c.began[job] = true
 	for _, a := range c.answered[job] {
--- a/lab/emulator/entry.go
+++ b/lab/emulator/entry.go
@@ -6,6 +6,7 @@
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/common/ordered"
 	"peridotpick.example/core/batch"
+	"peridotpick.example/core/drains"
 	"peridotpick.example/core/ledger"
 	"peridotpick.example/wire/runs"
 )
@@ -25,6 +26,9 @@
 	asks map[ledger.RequestID]func(errkind.Kind)
 	// cut entries reach neither the store nor other entries.
 	cut bool
+	// drains is what it knows of drained data centres, drainsReadAt when it last asked.
+	drains       drains.State
+	drainsReadAt time.Time
 }
 
 func newEntryProcess(w *world, address, centre string) *entryProcess {
@@ -46,6 +50,7 @@
 	settings.OwnerLease, settings.WorkerLease = l.ownerLease, l.runsOver
 	settings.RemoteFactor, settings.CrossCost = l.remoteFactor, l.crossCost
 	e.core = batch.New(settings)
+	e.drains, e.drainsReadAt = drains.State{}, time.Time{}
 	e.asks = make(map[ledger.RequestID]func(errkind.Kind))
 	e.ledger = ledger.New(ledger.Settings{
 		Self: e.self, OwnFor: l.ownFor, RunsOver: l.ownerLease + l.runsOver, SilentAfter: l.entrySilent,
@@ -53,6 +58,7 @@
 	}, e.w.now)
 	e.ticks()
 	e.follow(0, true)
+	e.followDrains()
 	for _, a := range e.w.agents {
 		if a.entries[e.address] {
 			e.w.connect(a, e)
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -68,6 +68,15 @@
 		p.world.lostOrders = f.Share
 		p.world.after(f.For.Std(), func() { p.world.lostOrders = 0 })
 	},
+	// drain has the operator drain a data centre, whose workers are slow by the factor
+	// for a while after it is taken back.
+	"drain": func(p *play, f *Fault) {
+		w := p.world
+		w.drain(f.DataCentre)
+		if f.For > 0 {
+			w.after(f.For.Std(), func() { w.undrain(f.DataCentre); p.cool(f) })
+		}
+	},
 	// store-away stops the platform's store.
 	"store-away": func(p *play, f *Fault) {
 		p.world.store.down = true
--- a/lab/emulator/layout.go
+++ b/lab/emulator/layout.go
@@ -68,11 +68,11 @@
 
 func entryAddress(n int) string { return fmt.Sprintf("e%d", n) }
 
-// chosen returns the addresses of the entries that a worker's agent works with. Here
-// it does not turn to others while one of them is away.
-func (l *layout) chosen(k *worker) map[string]bool {
+// chosen returns the addresses of the entries that a worker's agent works with while some
+// data centres are drained. Here it does not turn to others while one of them is away.
+func (l *layout) chosen(k *worker, drained []string) map[string]bool {
 	chosen := make(map[string]bool)
-	for _, e := range subset.Choose(k.name, k.centre, l.fleet()) {
+	for _, e := range subset.Choose(k.name, k.centre, l.fleet(), drained) {
 		chosen[e.Address] = true
 	}
 	return chosen
--- a/lab/emulator/processes.go
+++ b/lab/emulator/processes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"peridotpick.example/common/ordered"
@@ -15,6 +16,8 @@
 	life   int
 	frozen time.Time
 	dead   bool
+	// turnedAway processes do not reach the store.
+	turnedAway bool
 }
 
 // freeze suspends the process for a time, or longer if it is frozen already.
@@ -54,6 +57,12 @@
 	links           ordered.Map[runner.LinkID, *simLink]
 	// known is what the registry remembers of the worker.
 	known runs.Worker
+	// drained are the data centres for which chosen was made.
+	drained []string
+	// drainsAskedAt is when the store was last asked for drained data centres.
+	drainsAskedAt time.Time
+	// outOfTouchAt is when it last was not running, or nobody told it of drains.
+	outOfTouchAt time.Time
 }
 
 // simLink joins an agent and an entry. Both ends see it close unless it is silent.
@@ -68,7 +77,7 @@
 }
 
 func newAgentProcess(w *world, k *worker) *agentProcess {
-	chosen := w.layout.chosen(k)
+	chosen := w.layout.chosen(k, nil)
 	a := &agentProcess{process: process{w: w}, worker: k, entries: chosen, chosen: chosen}
 	a.start()
 	return a
@@ -96,6 +105,7 @@
 	a.deliver(tick, func() {
 		a.core.Tick(a.w.now)
 		a.turnToOwners()
+		a.confirmDrains()
 		a.perform()
 		a.ticks()
 	})
@@ -104,6 +114,10 @@
 // turnToOwners has the agent work also with entries that are short of agents, and with
 // all while kept ends find no owner.
 func (a *agentProcess) turnToOwners() {
+	if drained := a.core.DrainedDataCentres(); !slices.Equal(drained, a.drained) {
+		a.drained = drained
+		a.chosen = a.w.layout.chosen(a.worker, drained)
+	}
 	all := a.core.Unsettled()
 	entries := make(map[string]bool)
 	for _, e := range a.w.entries {
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -25,6 +25,8 @@
 	down    bool
 	// lost is the share of writes whose answer is lost; some are carried out late.
 	lost float64
+	// drained are the data centres that the operator has drained, with the time of it.
+	drained map[string]time.Time
 }
 
 func (s *store) write(w ledger.Write) ledger.Outcome {
--- a/lab/emulator/worker.go
+++ b/lab/emulator/worker.go
@@ -19,6 +19,7 @@
 	work, done time.Duration
 	pace       float64
 	paceAt     time.Time
+	startedAt  time.Time
 	// stopping is when a stop takes effect; zero if none was asked for.
 	stopping time.Time
 	fails    bool
@@ -212,7 +213,7 @@
 	k.until = max(k.until, o.Deadline)
 	work, fails := k.w.startOf(o.Key)
 	k.running.Put(o.Key.Task, &workerRun{
-		run: o.Key.Run, pace: k.pace(), paceAt: k.w.now, work: work, need: need, fails: k.failing || fails,
+		run: o.Key.Run, pace: k.pace(), paceAt: k.w.now, startedAt: k.w.now, work: work, need: need, fails: k.failing || fails,
 	})
 	k.w.tell("worker %s starts %s/%d", k.id, o.Key.Task, o.Key.Run)
 	k.w.checks.startedOn(o.Key, k)
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -67,7 +67,7 @@
 func newWorld(seed uint64, l *layout) *world {
 	w := &world{layout: l, now: worldStart, rand: rand.New(rand.NewPCG(seed, 7)), jobs: make(map[string]*jobSpec)}
 	w.checks = newChecks(w)
-	w.store = &store{w: w, rows: make(map[string]ledger.Stored)}
+	w.store = &store{w: w, rows: make(map[string]ledger.Stored), drained: make(map[string]time.Time)}
 	for _, c := range l.centres {
 		for range c.workers {
 			n := len(w.workers)
@@ -92,7 +92,8 @@
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
 	w.every(step, end, func() {
-		for _, k := range w.workers {
+		for i, k := range w.workers {
+			w.agents[i].watchTouch()
 			k.step()
 		}
 	})
--- a/service/batch/config.go
+++ b/service/batch/config.go
@@ -9,11 +9,15 @@
 // configuration on meanwhile.
 const configRetry = 300 * time.Millisecond
 
-// followConfig takes each new version from the store.
-func (e *Entry) followConfig(ctx context.Context) error {
+// fromStore names the store as the source of the operator's wishes in the log.
+const fromStore = "store"
+
+// followOperator takes each new version of the configuration, and the drained data
+// centres, from the store.
+func (e *Entry) followOperator(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
-		doc, err := e.deps.Store.NextConfig(ctx)
+		update, err := e.deps.Store.NextUpdate(ctx)
 		if err != nil {
 			if !failing {
 				e.log.Warn().Err(err).Uint64("config", e.configVersion()).Msg("entry: the store does not give the configuration")
@@ -29,8 +33,9 @@
 			failing = false
 			e.log.Info().Uint64("config", e.configVersion()).Msg("entry: the store gives the configuration again")
 		}
-		if doc != nil {
-			e.adopt(doc, "store")
+		e.learnDrains(update.Drains, fromStore)
+		if update.Document != nil {
+			e.adopt(update.Document, fromStore)
 		}
 	}
 	return nil
--- /dev/null
+++ b/service/batch/drains.go
@@ -0,0 +1,41 @@
+package batch
+
+import (
+	"sync"
+	"time"
+
+	"peridotpick.example/common/boottime"
+	core "peridotpick.example/core/batch"
+	"peridotpick.example/core/drains"
+	"peridotpick.example/wire/runs"
+)
+
+// drainsView is what this entry knows of drained data centres, shared by its goroutines.
+type drainsView struct {
+	mu    sync.Mutex
+	state drains.State
+}
+
+func (d *drainsView) view(now time.Time) runs.Drains {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.View(now)
+}
+
+func (d *drainsView) learn(now time.Time, v runs.Drains) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Learn(now, v)
+}
+
+// learnDrains takes a view of drained data centres from the store or another entry, and
+// passes on what is new: to agents by the core, to entries by their exchanges.
+func (e *Entry) learnDrains(v runs.Drains, from string) {
+	if !e.drains.learn(boottime.Now(), v) {
+		return
+	}
+	e.log.Info().Strs("drained", v.DataCentres).Uint64("version", v.Version).Dur("age", v.Age).Str("from", from).
+		Msg("entry: drained data centres in force")
+	e.post(func(c *core.Core, now time.Time) { c.LearnDrains(now, e.drains.view(now)) })
+	e.peers.signalAll()
+}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -37,12 +37,20 @@
 	Catalog *catalog.Catalog
 }
 
-// Store keeps the configuration and the registry of entries.
+// Update is what the operator wants now, as far as it has changed.
+type Update struct {
+	// Document is a configuration that was not returned before; nil if there is none.
+	Document *Document
+	// Drains is the present view of drained data centres.
+	Drains runs.Drains
+}
+
+// Store keeps the operator's wishes and the registry of entries.
 type Store interface {
-	// NextConfig waits for a configuration that this store value has not returned
-	// yet. It may return nil without an error if there is none after some time.
-	NextConfig(ctx context.Context) (*Document, error)
-	// Arriving reports whether a configuration is being read that NextConfig waits for.
+	// NextUpdate waits for a change of the operator's wishes. It may return without one
+	// after some time: the view of drained data centres is confirmed then.
+	NextUpdate(ctx context.Context) (Update, error)
+	// Arriving reports whether a configuration is being read that NextUpdate waits for.
 	Arriving() bool
 	// Parse decodes a document that another entry has passed on.
 	Parse(raw []byte) (*Document, error)
@@ -105,6 +113,7 @@
 	waiting  map[core.RequestID]chan core.Answer
 	nextID   atomic.Uint64
 	config   atomic.Pointer[Document]
+	drains   drainsView
 	peers    *peers
 	keeper   *keeper
 	listener net.Listener
@@ -151,7 +160,7 @@
 	group, work := errgroup.WithContext(e.work)
 	group.Go(func() error { return e.loop(work) })
 	group.Go(func() error { return transport.Serve(work, e.listener, runs.Handler{Server: e}) })
-	group.Go(func() error { return e.followConfig(work) })
+	group.Go(func() error { return e.followOperator(work) })
 	group.Go(func() error { return e.peers.run(work) })
 	group.Go(func() error { return e.keeper.run(work) })
 	select {
@@ -213,6 +222,7 @@
 	}
 	e.tickedAt = now
 	e.ticks.Add(1)
+	e.core.LearnDrains(now, e.drains.view(now))
 	e.core.Tick(now)
 	e.keeper.tick(now)
 	e.workers.Store(int64(e.core.Workers()))
@@ -339,6 +349,9 @@
 	telemetry.Gauge("ticks", e.deps.Metrics, e.ticks.Load())
 	telemetry.Gauge("links", e.deps.Metrics, int64(len(e.links)))
 	telemetry.Gauge("config.version", e.deps.Metrics, int64(e.configVersion()))
+	drained := e.drains.view(e.tickedAt)
+	telemetry.Gauge("drained_data_centres", e.deps.Metrics, int64(len(drained.DataCentres)))
+	telemetry.Gauge("drains.age_ms", e.deps.Metrics, drained.Age.Milliseconds())
 	telemetry.Gauge("logs.dropped", e.deps.Metrics, e.deps.Logs.Dropped())
 	e.agentTraffic.Log(e.tickedAt, e.log, "entry: traffic", len(e.links))
 	e.entryTraffic.Log(e.tickedAt, e.log, "entry: traffic", e.peers.exchanges())
--- a/service/batch/exchange.go
+++ b/service/batch/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"peridotpick.example/common/boottime"
 	"peridotpick.example/wire/runs"
 )
 
@@ -123,7 +124,7 @@
 	defer p.mu.Unlock()
 	msg := &runs.Gossip{
 		Self: p.view.Self(), Members: x.pending, Digest: p.view.Digest(), ConfigVersion: p.entry.configVersion(),
-		Closing: x.closing,
+		Closing: x.closing, Drains: p.entry.drains.view(boottime.Now()),
 	}
 	if x.all {
 		msg.Members = p.view.Records()
@@ -163,6 +164,7 @@
 		p.entry.entryTraffic.Received()
 		silence.Reset(silentAfter)
 		p.hear(x, msg)
+		p.entry.learnDrains(msg.Drains, msg.Self.Entry.Address)
 		p.takeConfig(x, msg)
 		now := heard{version: msg.ConfigVersion, want: msg.Want, from: msg.WantFrom}
 		select {
--- a/service/batch/link.go
+++ b/service/batch/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"peridotpick.example/common/boottime"
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/wire/runs"
 )
@@ -64,7 +65,11 @@
 	if _, err := stream.Recv(); err != nil {
 		return eris.Wrap(err, "receive hello")
 	}
-	return stream.Send(&runs.ToAgent{Hello: e.peers.self(), Entries: e.peers.alive()})
+	hello := &runs.ToAgent{Hello: e.peers.self(), Entries: e.peers.alive()}
+	if view := e.drains.view(boottime.Now()); view.Version > 0 {
+		hello.Drains = &view
+	}
+	return stream.Send(hello)
 }
 
 func (e *Entry) readLink(stream runs.EntryEnd, l *link) error {
--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -372,9 +372,14 @@
 	return len(p.streams)
 }
 
-// configChanged has all exchanges speak.
+// configChanged has all exchanges tell of a new configuration.
 func (p *peers) configChanged() {
 	p.asking.adopted()
+	p.signalAll()
+}
+
+// signalAll has all exchanges speak.
+func (p *peers) signalAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for x := range p.streams {
--- a/service/batch/peers_test.go
+++ b/service/batch/peers_test.go
@@ -23,6 +23,7 @@
 type fakeStore struct {
 	noJobs
 	docs   chan *Document
+	drains chan runs.Drains
 	parsed atomic.Int64
 }
 
@@ -41,12 +42,14 @@
 
 var errAway = errors.New("away")
 
-func (s *fakeStore) NextConfig(ctx context.Context) (*Document, error) {
+func (s *fakeStore) NextUpdate(ctx context.Context) (Update, error) {
 	select {
 	case doc := <-s.docs:
-		return doc, nil
+		return Update{Document: doc}, nil
+	case view := <-s.drains:
+		return Update{Drains: view}, nil
 	case <-ctx.Done():
-		return nil, errAway
+		return Update{}, errAway
 	}
 }
 
@@ -77,7 +80,7 @@
 // startEntry runs an entry that knows one other by its seed.
 func startEntry(t *testing.T, seeds ...string) (*Entry, *fakeStore) {
 	t.Helper()
-	store := &fakeStore{docs: make(chan *Document, 8)}
+	store := &fakeStore{docs: make(chan *Document, 8), drains: make(chan runs.Drains, 8)}
 	return startOn(t, store, seeds...), store
 }
 
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -39,6 +39,8 @@
 	Remember(ctx context.Context, w runs.Worker) error
 	// Recall returns what was remembered last; its ID is empty if nothing was.
 	Recall(ctx context.Context, agent string) (runs.Worker, error)
+	// Drains reads which data centres the operator has drained.
+	Drains(ctx context.Context) (runs.Drains, error)
 }
 
 // Deps are what an agent needs from outside.
@@ -105,6 +107,7 @@
 	// remembered is the worker as the registry has it; the announcements' goroutine owns it.
 	remembered runs.Worker
 	dir        *directory
+	drains     drainsWatch
 	traffic    *telemetry.Traffic
 	work       context.Context
 	abort      context.CancelFunc
@@ -137,6 +140,7 @@
 	group.Go(func() error { return a.carry(work, a.stops) })
 	group.Go(func() error { return a.dir.run(work) })
 	group.Go(func() error { return a.recall(work) })
+	group.Go(func() error { return a.confirmDrains(work) })
 	select {
 	case <-ctx.Done():
 		a.drain(work)
@@ -167,6 +171,9 @@
 
 // Announced takes the worker's word about itself.
 func (a *Agent) Announced(info runs.Worker, clock int64) {
+	if info.DataCentre == "" {
+		info.DataCentre = a.settings.DataCentre // beside the agent
+	}
 	a.post(func(c *core.Core, now time.Time) {
 		if !c.Announced(now, info, clock) {
 			a.log.Warn().Str("worker", info.ID).Msg("agent: announcement of an incarnation that is over")
@@ -236,6 +243,7 @@
 			a.dir.settle(!a.core.Unsettled())
 		}
 		a.perform(a.core.Flush(boottime.Now()))
+		a.watchDrains(boottime.Now())
 		a.markBusy()
 		a.wakeLooker()
 		timer.Reset(a.tick())
@@ -314,7 +322,12 @@
 	if leftOut > 0 {
 		line.Int("left_out", leftOut)
 	}
-	line.Str("task", n.Key.Task).Uint32("run", n.Key.Run).Str("entry", n.Entry)
+	if n.Key.Task != "" {
+		line.Str("task", n.Key.Task).Uint32("run", n.Key.Run).Str("entry", n.Entry)
+	}
+	if n.Version != 0 {
+		line.Uint64("version", n.Version)
+	}
 	if n.Reason != runs.NoReason {
 		line.Stringer("reason", n.Reason)
 	}
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -187,7 +187,7 @@
 	if d.unsettled.Load() {
 		return entries
 	}
-	return subset.Choose(d.agent.settings.Name, d.agent.settings.DataCentre, entries)
+	return subset.Choose(d.agent.settings.Name, d.agent.settings.DataCentre, entries, d.agent.drains.dataCentres())
 }
 
 // want notes whether an entry is worked with, and why, and has an open link released or
--- a/service/runner/directory_test.go
+++ b/service/runner/directory_test.go
@@ -105,6 +105,9 @@
 type standInRegistry struct {
 	mu      sync.Mutex
 	entries []runs.Entry
+	drains  runs.Drains
+	// drainsAsked counts the questions for drained data centres.
+	drainsAsked int
 }
 
 func (r *standInRegistry) Entries(context.Context) ([]runs.Entry, error) {
@@ -118,6 +121,13 @@
 	return runs.Worker{}, nil
 }
 
+func (r *standInRegistry) Drains(context.Context) (runs.Drains, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drainsAsked++
+	return r.drains, nil
+}
+
 // idleWorker is never called: it has not announced itself.
 type idleWorker struct{}
 
@@ -174,7 +184,7 @@
 		known = append(known, e.self)
 	}
 	chosen := make(map[string]bool)
-	for _, e := range subset.Choose("a", "d", known) {
+	for _, e := range subset.Choose("a", "d", known, nil) {
 		chosen[e.Address] = true
 	}
 	return chosen
--- a/service/runner/link.go
+++ b/service/runner/link.go
@@ -88,6 +88,9 @@
 	}
 	a.post(func(c *core.Core, now time.Time) {
 		a.links[l.id] = l
+		if first.Drains != nil {
+			c.LearnDrains(now, *first.Drains)
+		}
 		c.LinkUp(now, l.id, entry)
 	})
 	a.dir.learn(append(first.Entries, entry))
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -70,6 +70,18 @@
 	OnDemand bool `cbor:"9,keyasint,omitempty"`
 }
 
+// Drains is a view of the data centres that the operator has drained: their workers get
+// nothing new.
+type Drains struct {
+	// Version orders views: it is that of the store as of which this one was read; 0 if
+	// nothing is known.
+	Version uint64 `cbor:"1,keyasint"`
+	// DataCentres are the drained ones, in alphabetical order.
+	DataCentres []string `cbor:"2,keyasint,omitempty"`
+	// Age is the time since the view was certainly the newest.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // Start asks for one run of a task.
 type Start struct {
 	Key  Key       `cbor:"1,keyasint"`
@@ -153,11 +165,13 @@
 	Asked
 	// Unanswered: the order got no answer and was withdrawn.
 	Unanswered
+	// Drained: the operator has drained the worker's data centre.
+	Drained
 )
 
 // String returns the name of r in logs.
 func (r Reason) String() string {
-	names := [...]string{"", "no-room", "late", "no-lease", "draining", "no-worker", "unhealthy", "old-run", "asked", "unanswered"}
+	names := [...]string{"", "no-room", "late", "no-lease", "draining", "no-worker", "unhealthy", "old-run", "asked", "unanswered", "data-centre-drained"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -270,6 +284,8 @@
 	// Void are runs whose ends came too late: their tasks were started again when
 	// the worker's lease had passed, so it must pass before they are forgotten.
 	Void []Key `cbor:"10,keyasint,omitempty"`
+	// Drains is sent first, after each change, and now and then to say that it holds.
+	Drains *Drains `cbor:"11,keyasint,omitempty"`
 }
 
 // Member is what entries say of one of them.
@@ -301,4 +317,6 @@
 	Digest uint64 `cbor:"6,keyasint"`
 	// Closing says that the sender closes the exchange on purpose and lives on.
 	Closing bool `cbor:"7,keyasint,omitempty"`
+	// Drains is what the sender knows of drained data centres.
+	Drains Drains `cbor:"11,keyasint"`
 }
