--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -190,7 +190,7 @@
 		a.out.Owned = append(a.out.Owned, runs.Owned{Key: t.key(), Need: t.step.Need, Estimate: t.step.estimate, Durable: t.job.durable != nil})
 		t.on = a.link
 		a.runs++
-		t.stopping = false
+		t.stopping, t.moving = false, false
 		if t.job.ended {
 			c.stop(t)
 		}
@@ -310,13 +310,13 @@
 	c.out.Sends = append(c.out.Sends, Send{Link: a.link, Msg: &msg})
 }
 
-// stop has the run of a task end.
+// stop has the run of a task end, which nobody wants any more.
 func (c *Core) stop(t *task) {
 	a := c.agents.Get(t.on)
-	if t.stopping || a == nil {
+	if t.stopping && !t.moving || a == nil {
 		return
 	}
-	t.stopping = true
+	t.stopping, t.moving = true, false
 	a.out.Stops = append(a.out.Stops, t.key())
 	c.mark(a)
 }
--- a/core/batch/ends.go
+++ b/core/batch/ends.go
@@ -22,7 +22,7 @@
 	if end.How != runs.Refused {
 		j.begun = true
 	}
-	t.stopping = false
+	t.stopping, t.moving = false, false
 	t.slow = false
 	t.waitsAt = 0
 	if end.How == runs.Done {
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -68,7 +68,8 @@
 	waitsAt uint64
 	// withdrawnAt is when it was last withdrawn from a queue.
 	withdrawnAt time.Time
-	stopping    bool
+	// stopping is set while its run shall end, moving if only to start again elsewhere.
+	stopping, moving bool
 	// failedOn are the workers on which it failed.
 	failedOn map[string]int
 	failures int
--- a/core/batch/move.go
+++ b/core/batch/move.go
@@ -48,7 +48,9 @@
 		Expected: here, Age: c.now.Sub(from.loadAt),
 	})
 	if !waits {
-		c.stop(t)
+		t.stopping, t.moving = true, true
+		from.out.Moves = append(from.out.Moves, t.key())
+		c.mark(from)
 		return
 	}
 	t.withdrawnAt = c.now
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -185,6 +185,13 @@
 func (c *Core) endTold(a *agent, end runs.End) {
 	t := c.byTask[end.Key.Task]
 	switch {
+	case t != nil && t.job.durable == nil && t.agent != a.worker.Agent:
+		// Of another entry, or a former process of this one, that had the same job:
+		// runs are numbered from 1 by each. Taken for the present run's end it would
+		// have the task start again beside it.
+		if end.Held {
+			c.noteEnds(a, end.Key)
+		}
 	case !end.Held:
 		c.endOf(a.worker.ID, end)
 	case t == nil:
@@ -276,6 +283,6 @@
 	t.state, t.run, t.taken = taskPlaced, run, false
 	t.on, t.agent, t.worker = a.link, a.worker.Agent, a.worker.ID
 	t.sentAt, t.expected, t.expectedWait = c.now, t.step.estimate, 0
-	t.stopping = false
+	t.stopping, t.moving = false, false
 	a.runs++
 }
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -263,7 +263,10 @@
 		}
 	}
 	for _, key := range msg.Stops {
-		c.stopAsked(l, key)
+		c.stopAsked(l, key, false)
+	}
+	for _, key := range msg.Moves {
+		c.stopAsked(l, key, true)
 	}
 }
 
@@ -306,6 +309,7 @@
 		if r.orphan || c.leased(r.owner) {
 			continue
 		}
+		c.mustEnd(r, c.lapsed(r))
 		c.end(r, runs.NoLease)
 	}
 }
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -176,8 +176,8 @@
 	}
 	c.lookedAt = now
 	look := Look{Worker: c.worker.info.ID, Token: c.worker.token, LastSeen: c.notedUpTo(), SentAt: now, epoch: c.worker.epoch}
-	if c.mayRenew() {
-		look.Deadline = c.worker.deadline(now, c.settings.WorkerLease)
+	if lease := c.leaseToTake(); lease > 0 {
+		look.Deadline = c.worker.deadline(now, lease)
 		c.worker.promised(look.Deadline)
 	}
 	if c.worker.synced && !c.awaitsListing() {
@@ -186,21 +186,6 @@
 	return look, true
 }
 
-// mayRenew reports whether the worker's lease may be renewed. It is not while
-// there may be runs that no entry of this process's knowledge owns: their entries
-// count on the end of the lease that the former process took.
-func (c *Core) mayRenew() bool {
-	if !c.worker.synced || c.outOfUse() {
-		return false
-	}
-	for r := range c.runs.Values() {
-		if r.orphan {
-			return false
-		}
-	}
-	return true
-}
-
 // awaitsListing reports whether a listing would settle the fate of a run.
 func (c *Core) awaitsListing() bool {
 	for r := range c.runs.Values() {
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -52,6 +52,8 @@
 	stopReason     runs.Reason
 	stopOrderedAt  time.Time
 	stopAnsweredAt time.Time
+	// overBy is when others count on its end; zero while it may go on.
+	overBy time.Time
 }
 
 // waiting is the queue of runs that wait for room, the most urgent first.
@@ -75,8 +77,13 @@
 
 // admit takes a start into the queue or refuses it.
 func (c *Core) admit(l *link, s *runs.Start, sentAt int64) {
-	if c.runs.Get(s.Key) != nil {
-		return // a repeated order
+	if other := c.runs.Get(s.Key); other != nil {
+		if other.owner.Incarnation != l.entry.Incarnation {
+			// Entries number the runs of a job each from 1: this start is another one.
+			l.out.Ends = append(l.out.Ends, runs.End{Key: s.Key, How: runs.Refused, Reason: runs.OldRun})
+			l.dirty = true
+		}
+		return // else a repeated order
 	}
 	r := &run{
 		key: s.Key, owner: l.entry, start: *s, need: s.Need,
@@ -124,6 +131,10 @@
 	if len(c.queue) == 0 || !c.worker.synced || c.outOfUse() || c.drained() {
 		return
 	}
+	lease := c.leaseToTake()
+	if lease < shortestLease {
+		return
+	}
 	left := c.roomLeft()
 	var still waiting
 	for _, r := range c.queue {
@@ -139,7 +150,7 @@
 			continue
 		}
 		left = left.Minus(r.need)
-		c.order(r)
+		c.order(r, lease)
 	}
 	c.queue = still
 }
@@ -154,11 +165,11 @@
 	return false
 }
 
-// order has the worker start a run.
-func (c *Core) order(r *run) {
+// order has the worker start a run under a lease.
+func (c *Core) order(r *run, lease time.Duration) {
 	r.phase = phaseOrdered
 	r.orderedAt = c.now
-	r.orderDeadline = c.worker.deadline(c.now, c.settings.WorkerLease)
+	r.orderDeadline = c.worker.deadline(c.now, lease)
 	c.worker.promised(r.orderDeadline)
 	c.out.Orders = append(c.out.Orders, Order{
 		Kind: OrderStart, Key: r.key, Worker: c.worker.info.ID, Token: c.worker.token,
@@ -206,16 +217,21 @@
 	c.note("stop", r, r.stopReason)
 }
 
-// stopAsked handles an entry's request to end a run.
-func (c *Core) stopAsked(l *link, key runs.Key) {
+// stopAsked handles an entry's request to end a run. One that is wanted, and shall start
+// again elsewhere, may take its time: its entry waits for the end.
+func (c *Core) stopAsked(l *link, key runs.Key, wanted bool) {
 	r := c.runs.Get(key)
 	if r == nil {
 		c.answerUnknown(l, key)
 		return
 	}
-	if r.owner.Incarnation == l.entry.Incarnation {
-		c.end(r, runs.Asked)
+	if r.owner.Incarnation != l.entry.Incarnation {
+		return
+	}
+	if !wanted {
+		c.mustEnd(r, c.now)
 	}
+	c.end(r, runs.Asked)
 }
 
 // answerUnknown tells an entry how a run that is not here ended.
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -54,6 +54,8 @@
 	tally *tally
 	// lostOrders is the share of orders to workers that get no answer.
 	lostOrders float64
+	// looksArrive is set if looks at workers are answered while orders are lost.
+	looksArrive bool
 	// lines is the story of a play, if it is told.
 	lines    []string
 	story    bool
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -363,6 +363,9 @@
 	r.ID = core.RequestID(e.nextID.Add(1))
 	waiting := make(chan core.Answer, 1)
 	e.post(func(c *core.Core, now time.Time) {
+		if ctx.Err() != nil {
+			return // the caller left while its request waited here: nothing may begin
+		}
 		if r.Arrived.IsZero() {
 			r.Arrived = now
 		}
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -271,7 +271,10 @@
 	// Owned follows the hello.
 	Owned  []Owned `cbor:"2,keyasint,omitempty"`
 	Starts []Start `cbor:"3,keyasint,omitempty"`
-	Stops  []Key   `cbor:"4,keyasint,omitempty"`
+	// Stops end runs that nobody wants any more.
+	Stops []Key `cbor:"4,keyasint,omitempty"`
+	// Moves end runs whose tasks the entry starts elsewhere once it has heard of the end.
+	Moves []Key `cbor:"12,keyasint,omitempty"`
 	// Withdraws end runs that still wait; others go on.
 	Withdraws []Key `cbor:"7,keyasint,omitempty"`
 	// Clock is the newest ToEntry.Clock plus the time since its arrival, in
