service/entry: the event ring of the other dispatcher, instead of one of its own

One doubled thing of the two dispatchers fewer: post, batch and channel stood twice. The ring now takes the size of its batch (512 there, 64 elsewhere, as before). No change of behaviour; tests of service and lab/cluster pass.

--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -146,7 +146,7 @@
 		agentTraffic: telemetry.NewTraffic("agents", deps.Metrics), entryTraffic: telemetry.NewTraffic("entries", deps.Metrics),
 	}
 	e.work, e.abort = context.WithCancel(context.Background())
-	e.events = eventloop.New[*core.Core](eventRing, e.work.Done())
+	e.events = eventloop.New[*core.Core](eventRing, eventloop.Batch, e.work.Done())
 	e.peers = newPeers(e)
 	e.keeper = newKeeper(e, s.Ledger, s.WritesPerSecond)
 	return e, nil
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -31,6 +31,7 @@
 	"peridotpick.example/core/rank"
 	"peridotpick.example/service/claimstore"
 	"peridotpick.example/service/confwatch"
+	"peridotpick.example/service/eventloop"
 	"peridotpick.example/service/members"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire"
@@ -61,7 +62,7 @@
 	routeLog zerolog.Logger
 
 	core    *dispatch.Core
-	events  chan event
+	events  *eventloop.Ring[*dispatch.Core]
 	pending map[uint64]chan *wire.Outcome
 	serial  atomic.Uint64
 
@@ -120,11 +121,12 @@
 	}
 	e := &Entry{
 		settings: s, deps: deps, log: deps.Logs.For(logs.Entry), routeLog: deps.Logs.For(logs.Route),
-		self:   wire.EntryInfo{ID: s.ID, Incarnation: incarnation.New(address), Address: address, DataCentre: s.DataCentre},
-		events: make(chan event, eventRing), pending: make(map[uint64]chan *wire.Outcome),
-		reads: make(chan struct{}, maxReads), callers: newTrackedListener(callers), peers: peers,
+		self:    wire.EntryInfo{ID: s.ID, Incarnation: incarnation.New(address), Address: address, DataCentre: s.DataCentre},
+		pending: make(map[uint64]chan *wire.Outcome),
+		reads:   make(chan struct{}, maxReads), callers: newTrackedListener(callers), peers: peers,
 	}
 	e.work, e.abort = context.WithCancel(context.Background())
+	e.events = eventloop.New[*dispatch.Core](eventRing, eventBatch, e.work.Done())
 	e.core = dispatch.New(e.coreSettings(nil), e.self, rand.New(rand.NewPCG(deps.Seed, deps.Seed)))
 	e.links = newLinkManager(e)
 	e.claims = claimstore.New(e.claimSettings(), deps.Table, deps.Objects, e.claimsWritten)
--- a/service/entry/loop.go
+++ b/service/entry/loop.go
@@ -6,19 +6,12 @@
 
 	"peridotpick.example/core/claim"
 	"peridotpick.example/core/dispatch"
+	"peridotpick.example/service/eventloop"
 	"peridotpick.example/wire"
 )
 
-// event is something that happened, for the loop.
-type event func(core *dispatch.Core, now time.Time)
-
 // post hands an event to the loop, unless the entry has stopped.
-func (e *Entry) post(ev event) {
-	select {
-	case e.events <- ev:
-	case <-e.work.Done():
-	}
-}
+func (e *Entry) post(ev eventloop.Event[*dispatch.Core]) { e.events.Post(ev) }
 
 // statsEvery is how often counters are published and links are looked at.
 const statsEvery = time.Second
@@ -33,10 +26,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case ev := <-e.events:
-			now := time.Now()
-			ev(e.core, now)
-			e.drainEvents(now)
+		case ev := <-e.events.Next():
+			e.events.Take(ev, e.core, time.Now())
 		case <-timer.C:
 		case now := <-ticker.C:
 			e.publish()
@@ -47,17 +38,6 @@
 	}
 }
 
-func (e *Entry) drainEvents(now time.Time) {
-	for range eventBatch {
-		select {
-		case ev := <-e.events:
-			ev(e.core, now)
-		default:
-			return
-		}
-	}
-}
-
 func (e *Entry) untilTimer() time.Duration {
 	next := e.core.NextTimer()
 	if next.IsZero() {
--- a/service/entry/metrics.go
+++ b/service/entry/metrics.go
@@ -15,7 +15,7 @@
 	e.gauge("core.open", int64(e.core.Open()))
 	e.gauge("core.waiting", int64(e.core.Waiting()))
 	e.gauge("core.links", int64(e.links.count()))
-	e.gauge("core.events", int64(len(e.events)))
+	e.gauge("core.events", int64(e.events.Len()))
 	e.gauge("config.version", int64(e.configVersion()))
 	counters := []struct {
 		name  string
--- a/service/eventloop/ring.go
+++ b/service/eventloop/ring.go
@@ -7,20 +7,25 @@
 // Event is something that happened, for the core.
 type Event[C any] func(core C, now time.Time)
 
-// batch bounds the events taken before their output is carried out.
-const batch = 64
+// Batch bounds the events that most loops take before their output is carried out.
+const Batch = 64
 
 // Ring holds the events that wait for the loop.
 type Ring[C any] struct {
 	events  chan Event[C]
+	batch   int
 	stopped <-chan struct{}
 }
 
-// New returns a ring; posting to it ends when stopped is closed.
-func New[C any](size int, stopped <-chan struct{}) *Ring[C] {
-	return &Ring[C]{events: make(chan Event[C], size), stopped: stopped}
+// New returns a ring for a number of events, of which a batch is taken at a time; posting
+// to it ends when stopped is closed.
+func New[C any](size, batch int, stopped <-chan struct{}) *Ring[C] {
+	return &Ring[C]{events: make(chan Event[C], size), batch: batch, stopped: stopped}
 }
 
+// Len returns the number of events that wait.
+func (r *Ring[C]) Len() int { return len(r.events) }
+
 // Next returns the channel from which the loop takes the first event of a batch.
 func (r *Ring[C]) Next() <-chan Event[C] { return r.events }
 
@@ -45,7 +50,7 @@
 // Take has the core handle an event and those that wait behind it, up to a batch.
 func (r *Ring[C]) Take(first Event[C], core C, now time.Time) {
 	first(core, now)
-	for range batch {
+	for range r.batch {
 		select {
 		case e := <-r.events:
 			e(core, now)
--- a/service/eventloop/ring_test.go
+++ b/service/eventloop/ring_test.go
@@ -9,7 +9,8 @@
 
 func TestTakeKeepsOrderAndEndsAfterABatch(t *testing.T) {
 	is := is.New(t)
-	r := New[*[]int](2*batch+2, nil)
+	const batch = 3
+	r := New[*[]int](2*batch+2, batch, nil)
 	for n := range 2*batch + 2 {
 		r.Post(func(list *[]int, _ time.Time) { *list = append(*list, n) })
 	}
@@ -24,7 +25,7 @@
 func TestPostEndsWithTheLoop(t *testing.T) {
 	is := is.New(t)
 	stopped := make(chan struct{})
-	r := New[int](1, stopped)
+	r := New[int](1, Batch, stopped)
 	is.True(r.TryPost(func(int, time.Time) {}))
 	is.True(!r.TryPost(func(int, time.Time) {})) // full
 	close(stopped)
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -122,7 +122,7 @@
 		links: make(map[core.LinkID]*link), traffic: telemetry.NewTraffic("entries", deps.Metrics),
 	}
 	a.work, a.abort = context.WithCancel(context.Background())
-	a.events = eventloop.New[*core.Core](eventRing, a.work.Done())
+	a.events = eventloop.New[*core.Core](eventRing, eventloop.Batch, a.work.Done())
 	a.dir = newDirectory(a)
 	return a
 }
