peridotpick data-centre drain and undrain: drained data centres in the product's configuration

Cause: the platform's row was the only way to drain a data centre. `drained` in the configuration is checked like the rest (schema, problems by path), in force with its version; entries pick no agent there. No change on the users' platform.

--- a/cmd/peridotpick/admin.go
+++ b/cmd/peridotpick/admin.go
@@ -125,16 +125,21 @@
 			if err != nil {
 				return err
 			}
-			var version config.Version
-			if err := json.Unmarshal(reply.Body, &version); err != nil {
-				return err
-			}
-			fmt.Printf("version %d is accepted\n", version.Number)
-			return nil
+			return printAccepted(reply.Body)
 		},
 	}
 }
 
+// printAccepted tells the version that a change was accepted as.
+func printAccepted(body []byte) error {
+	var version config.Version
+	if err := json.Unmarshal(body, &version); err != nil {
+		return err
+	}
+	fmt.Printf("version %d is accepted\n", version.Number)
+	return nil
+}
+
 // printWinner shows how the version that won differs from the file.
 func printWinner(cmd *cli.Command, body []byte) {
 	var conflict struct {
--- a/cmd/peridotpick/main.go
+++ b/cmd/peridotpick/main.go
@@ -32,7 +32,7 @@
 		Usage: "dispatcher for sub-second tasks",
 		Commands: []*cli.Command{
 			entryCommand(), dispatchCommand(), explainCommand(), checkCommand(), demoCommand(), jobCommand(), callCommand(),
-			workerCommand(), configCommand(), loadCommand(), emulateCommand(), capacityCommand(), platformCommand(), backendCommand(),
+			workerCommand(), dataCentreCommand(), configCommand(), loadCommand(), emulateCommand(), capacityCommand(), platformCommand(), backendCommand(),
 		},
 	}
 }
--- a/common/config/config.go
+++ b/common/config/config.go
@@ -30,6 +30,9 @@
 	Operators []Operator `json:"operators,omitempty"`
 	Services  []Service  `json:"services"`
 	Policy    Policy     `json:"policy"`
+	// Drained are data centres whose backend servers finish what they run and get
+	// nothing new.
+	Drained []string `json:"drained,omitempty"`
 	// Retention is how long the outcome of a submission can be asked for.
 	Retention settings.Duration `json:"retention,omitempty"`
 }
--- a/common/config/config_test.go
+++ b/common/config/config_test.go
@@ -46,6 +46,7 @@
 		{"duplicate kind", `"kinds":[`, `"kinds":[{"name":"scan"},`, "/services/0/kinds/1/name"},
 		{"duplicate team", `"teams":[`, `"teams":[{"name":"a"},`, "/teams/1/name"},
 		{"bad expiry", `2030-01-01T00:00:00Z`, `soon`, "/teams/0/tokens/0/expires"},
+		{"data centre without a name", `"policy"`, `"drained":[""],"policy"`, "/drained/0"},
 		{"short retention", `"policy"`, `"retention":"1s","policy"`, "/retention"},
 	}
 	for _, c := range cases {
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"peridotpick.example/common/label"
@@ -53,6 +54,8 @@
 	AwayRefuse bool
 	// LocalDataCentre is that of the entry.
 	LocalDataCentre string
+	// Drained are data centres whose agents get nothing new.
+	Drained []string
 	// CrossLatency is the round trip to another data centre.
 	CrossLatency time.Duration
 	// DefaultRunTime is assumed for kinds never seen.
@@ -331,7 +334,7 @@
 
 // usable reports whether a may be given a task now.
 func (p *Pool) usable(now time.Time, a *Agent, ask *Ask, how scoring) bool {
-	if a.Leaving || a.Down {
+	if a.Leaving || a.Down || slices.Contains(p.params.Drained, a.DataCentre) {
 		return false
 	}
 	if how == byLoad {
--- a/core/rank/rank_test.go
+++ b/core/rank/rank_test.go
@@ -53,6 +53,23 @@
 	is.True(p.Pick(start, &Ask{Requirement: require(t, ""), Kind: scan}).Agent != nil)
 }
 
+func TestAgentsInADrainedDataCentreAreNotPicked(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	p.Agents()[0].DataCentre, p.Agents()[1].DataCentre = "a", "b"
+	ask := &Ask{Requirement: require(t, ""), Kind: scan}
+	params := DefaultParams()
+	params.Drained = []string{"a"}
+	p.Configure(params)
+	for range 20 {
+		is.Equal(p.Pick(start, ask).Agent, p.Agents()[1])
+	}
+	params.Drained = []string{"a", "b"}
+	p.Configure(params)
+	is.True(p.Pick(start, ask).Agent == nil)
+	is.Equal(len(p.Feasible(ask.Requirement)), 2) // the task waits, it is not impossible
+}
+
 func TestAwayFromHomeNeedsRoomAndIsNotToWait(t *testing.T) {
 	is := is.New(t)
 	p := newPool(2)
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -155,6 +155,7 @@
 	s.MaxWaiting = e.settings.Limits.MaxWaiting
 	if c != nil {
 		s.Weigh(c.Document.Policy.ResponseWeight)
+		s.Rank.Drained = c.Document.Drained
 	}
 	if e.deps.Policy != "" {
 		s.Rank.Policy = e.deps.Policy
