--- a/cmd/peridotpick-agent/supervise.go
+++ b/cmd/peridotpick-agent/supervise.go
@@ -69,7 +69,8 @@
 	decisions := core.Standard()
 	decisions.Agent = file.Name
 	decisions.DrainsWithin = file.DrainsWithin(decisions.DrainsWithin)
-	decisions.OwnerLease, decisions.WorkerLease = file.OwnerLease(), file.WorkerLease()
+	times := file.Leases()
+	decisions.OwnerLease, decisions.WorkerLease = times.Owner, times.Worker
 	return runner.Settings{
 		Name: file.Name, DataCentre: file.DataCentre, Seeds: file.EntrySeeds(), DrainTimeout: file.Grace() - drainReserve, Core: decisions,
 	}
--- a/cmd/peridotpick/dispatch.go
+++ b/cmd/peridotpick/dispatch.go
@@ -82,12 +82,13 @@
 func dispatchSettings(file *boot.File) batch.Settings {
 	decisions := core.Standard()
 	decisions.DataCentre = file.DataCentre
-	decisions.OwnerLease, decisions.WorkerLease = file.OwnerLease(), file.RunsOver()
+	times := file.Leases()
+	decisions.OwnerLease, decisions.WorkerLease = times.Owner, times.RunsOver
 	decisions.RemoteFactor = file.Bounds.RemoteFactor
 	return batch.Settings{
 		WritesPerSecond: file.Platform.WritesPerSecond * writeShare,
 		Ledger: ledger.Settings{
-			OwnFor: ownFor, RunsOver: file.OwnerLease() + file.RunsOver(), SilentAfter: ownerSilent,
+			OwnFor: ownFor, RunsOver: times.Owner + times.RunsOver, SilentAfter: ownerSilent,
 			KeepEnded: file.KeepEnded() + keepSlack, MaxOpen: maxOpen,
 		},
 		Name: file.Name, Address: file.Internal(file.IP), Seeds: file.EntrySeeds(),
