--- a/core/batch/core_test.go
+++ b/core/batch/core_test.go
@@ -277,19 +277,25 @@
 	r.is.Equal(all[0].Key.Run, uint32(2))
 }
 
-func TestRunOnACrawlingWorkerMovesAndTheWorkerIsShunned(t *testing.T) {
-	r := newRig(t, 3)
+// crawl starts job 1 of one task, which its worker runs far too slowly. It returns where
+// the run is.
+func (r *rig) crawl() (on LinkID, k runs.Key) {
 	out := r.submit(begin, 1, 1, 100*time.Millisecond)
-	on := out.Sends[0].Link
-	k := out.Sends[0].Msg.Starts[0].Key
+	on = out.Sends[0].Link
+	k = out.Sends[0].Msg.Starts[0].Key
 	r.hear(after(100), int(on), func(m *runs.ToEntry) {
 		m.Load.Slowness = 900
 		m.Progress = []runs.Progress{{Key: k, Remaining: 5 * time.Second}}
 	})
+	return on, k
+}
+
+func TestRunOnACrawlingWorkerMovesAndTheWorkerIsShunned(t *testing.T) {
+	r := newRig(t, 3)
+	on, k := r.crawl()
 	r.Tick(after(120))
-	out = r.flush(after(120))
-	r.is.Equal(out.Sends[0].Msg.Moves, []runs.Key{k})
-	out = r.end(after(130), int(on), 0, 1, runs.Stopped)
+	r.is.Equal(r.flush(after(120)).Sends[0].Msg.Moves, []runs.Key{k})
+	out := r.end(after(130), int(on), 0, 1, runs.Stopped)
 	r.is.Equal(len(started(out)[on]), 0)
 }
 
@@ -396,13 +402,7 @@
 // TestCallerThatLeavesHasAMovingRunStopped: nobody waits for the end of the run any more.
 func TestCallerThatLeavesHasAMovingRunStopped(t *testing.T) {
 	r := newRig(t, 3)
-	out := r.submit(begin, 1, 1, 100*time.Millisecond)
-	on := out.Sends[0].Link
-	k := out.Sends[0].Msg.Starts[0].Key
-	r.hear(after(100), int(on), func(m *runs.ToEntry) {
-		m.Load.Slowness = 900
-		m.Progress = []runs.Progress{{Key: k, Remaining: 5 * time.Second}}
-	})
+	_, k := r.crawl()
 	r.Tick(after(120))
 	r.is.Equal(r.flush(after(120)).Sends[0].Msg.Moves, []runs.Key{k})
 	r.Cancel(after(130), 1)
--- a/core/runner/drains_test.go
+++ b/core/runner/drains_test.go
@@ -23,17 +23,6 @@
 	return r.Flush(now)
 }
 
-// startsOf returns the runs that are ordered to start.
-func startsOf(out Output) []runs.Key {
-	var list []runs.Key
-	for _, o := range out.Orders {
-		if o.Kind == OrderStart {
-			list = append(list, o.Key)
-		}
-	}
-	return list
-}
-
 func TestDrainedDataCentreStartsNothingAndEndsNothing(t *testing.T) {
 	r := drainRig(t)
 	r.is.Equal(len(startsOf(r.send(start, "t1", "t2", "t3"))), 2) // t3 waits for room
--- a/core/runner/leftover_test.go
+++ b/core/runner/leftover_test.go
@@ -7,11 +7,14 @@
 	"peridotpick.example/wire/runs"
 )
 
-// stopsOf returns the runs that are ordered to stop.
-func stopsOf(out Output) []runs.Key {
+// stopsOf returns the runs that are ordered to stop, startsOf those to start.
+func stopsOf(out Output) []runs.Key  { return ordersOf(out, OrderStop) }
+func startsOf(out Output) []runs.Key { return ordersOf(out, OrderStart) }
+
+func ordersOf(out Output, kind OrderKind) []runs.Key {
 	var list []runs.Key
 	for _, o := range out.Orders {
-		if o.Kind == OrderStop {
+		if o.Kind == kind {
 			list = append(list, o.Key)
 		}
 	}
