--- a/core/batch/defer.go
+++ b/core/batch/defer.go
@@ -41,8 +41,8 @@
 }
 
 // deferWithin is the part of what is left of a job's use within which it must be expected
-// to begin. With all of it half of the deferred jobs of lasting bursts were given up after 0.4 to 0.6 s,
-// in which their callers could have gone elsewhere.
+// to begin. With all of it nearly half of the deferred jobs of a lasting burst were given
+// up after half a second, in which their callers could have gone elsewhere.
 const deferWithin = 0.3
 
 // newborn reports whether this entry began a moment ago and has not heard of any
@@ -94,10 +94,11 @@
 }
 
 // spareRate is the work of deferred jobs that is expected to be started a second, in
-// thousandths of a core: what was started lately, or what more urgent work leaves of this entry's share of the
-// room. In a burst that is little, right after the return of all workers it is nearly all of it.
-// In bursts with workers gone 1.5% of the worth is held up for nothing with it and with
-// deferWithin, 4.6% with a constant fifth of the room (emulator, shifted, crowded, three seeds).
+// thousandths of a core: what was started lately, or what more urgent work leaves of this
+// entry's share of the room. In a burst that is little; right after the return of all
+// workers it is nearly all of it. In bursts with workers gone 1.5% of the worth is held up
+// for nothing with it and with deferWithin, 4.6% with a constant fifth of the room
+// (emulator, shifted, crowded, three seeds).
 func (c *Core) spareRate(service string) float64 {
 	room := c.shareOfRoom(service)
 	work := c.workOf(service)
