--- a/lab/emulator/stops_test.go
+++ b/lab/emulator/stops_test.go
@@ -48,3 +48,14 @@
 func TestLostStopSchedules(t *testing.T) {
 	playSeeds(t, *seeds, playLostStops, func(*world) {})
 }
+
+// TestLostStopRegressions plays the seeds that once broke a promise: in the first three an
+// end of a former process's run was taken for that of the present one, in the others
+// looks renewed the lease of a run whose stops got no answer.
+func TestLostStopRegressions(t *testing.T) {
+	for _, seed := range []uint64{23, 73, 101, 668, 751, 906} {
+		for _, b := range playLostStops(seed).checks.broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	}
+}
