--- a/lab/emulator/drains.go
+++ b/lab/emulator/drains.go
@@ -131,7 +131,9 @@
 // watchTouch notes when the agent was last out of touch: its process was not running, or
 // neither it nor any of its entries reached the store.
 func (a *agentProcess) watchTouch() {
-	if a.dead || a.w.now.Before(a.frozen) || !a.w.store.down && a.turnedAway && !a.anyEntryReachesStore() || a.w.store.down {
+	stopped := a.dead || a.w.now.Before(a.frozen)
+	unreached := a.w.store.down || a.turnedAway && !a.anyEntryReachesStore()
+	if stopped || unreached {
 		a.outOfTouchAt = a.w.now
 	}
 }
--- a/lab/emulator/stops_test.go
+++ b/lab/emulator/stops_test.go
@@ -49,11 +49,11 @@
 	playSeeds(t, *seeds, playLostStops, func(*world) {})
 }
 
-// TestLostStopRegressions plays the seeds that once broke a promise: in the first three an
-// end of a former process's run was taken for that of the present one, in the others
-// looks renewed the lease of a run whose stops got no answer.
+// TestLostStopRegressions plays seeds that broke a promise: the first six before it was
+// mended, the next four if the lease of a run whose stops get no answer is renewed, the
+// last three if an end of a former process's run is taken for that of the present one.
 func TestLostStopRegressions(t *testing.T) {
-	for _, seed := range []uint64{23, 73, 101, 668, 751, 906} {
+	for _, seed := range []uint64{23, 73, 101, 668, 751, 906, 212, 805, 1036, 1288, 201, 291, 1417} {
 		for _, b := range playLostStops(seed).checks.broken {
 			t.Errorf("seed %d: %s", seed, b)
 		}
