A task that crashes the workers which start it is given up, no sound job with it

Cause: nothing counted crashes; a run that went with its worker was placed anew, so such a task went from worker to worker and took with it whatever ran beside it.

A crash that jobs of several others share at the same moment is put down to none; amidst losses under other jobs more is asked.

Change: the agent tells a crash (gone without a word, or back as another incarnation) from a leave and from silence, and names the suspects; what a silent worker had is told once it is known whether it had crashed. The entry counts by task; a suspect runs apart from others, then alone and not on the last room; after two crashes put down to it (three or four amidst others' losses), or four losses, a durable job fails, kept in its row across owners; a durable task waits for word of silent workers rather than fail for a cut. An awaited job's suspects are told to all entries, bounded, since its caller may come back to any.

--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -130,6 +130,8 @@
 	// sure to own them.
 	Disowned []string
 	Unowned  []Unowned
+	// Suspects are to be told to the other entries.
+	Suspects []runs.Suspect
 }
 
 // Note is one decision for the log.
@@ -147,6 +149,9 @@
 	// Age is the age of the load that decided, Expected the time that was expected,
 	// Wait the part of it before the start, Slack what the job could wait.
 	Age, Expected, Wait, Slack time.Duration
+	// Lost counts the workers that were lost under the task, Blamed the crashes that are
+	// put down to it.
+	Lost, Blamed int
 	// Deferred is set at the end of a job that had to wait for room that stays free.
 	Deferred bool
 }
@@ -161,10 +166,11 @@
 	// byRequest finds the job of an awaited answer.
 	byRequest map[RequestID]*job
 	// byTask finds the job of a task.
-	byTask map[string]*task
-	learn  estimates
-	waits  waits
-	yields yielding
+	byTask  map[string]*task
+	learn   estimates
+	waits   waits
+	yields  yielding
+	crashes crashes
 	// deferred are jobs that wait for room that stays free; deferredAt is when they
 	// were last looked at.
 	deferred   ordered.Map[string, *job]
--- /dev/null
+++ b/core/batch/crash.go
@@ -0,0 +1,294 @@
+package batch
+
+import (
+	"time"
+
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/common/ordered"
+	"peridotpick.example/wire/runs"
+)
+
+// A task may crash each worker that starts it, and takes with it whatever runs there. It is
+// given up once two crashes are put down to it, more if workers were lost under several
+// other jobs lately, or if some were lost under it in whatever way. A crash is put down to
+// the runs that its agent names, unless workers are lost under many jobs at the same
+// moment: then it has a cause outside. A task that is suspected runs apart from other
+// suspects, then alone, so that one that merely ran beside the cause is not blamed again.
+//
+// The load it answers: a few jobs of a queue crash all that they touch. Without it each of
+// them goes from worker to worker until its caller leaves, and a durable one for ever.
+const (
+	// sharedWithin is the time within which losses count as one event, and sharedJobs the
+	// number of other jobs that it must have met to have a cause outside.
+	sharedWithin = 500 * time.Millisecond
+	sharedJobs   = 3
+	// lostLately is how long losses under other jobs count against blaming one.
+	lostLately = 10 * time.Second
+	// recentKept bounds the losses that are remembered for that.
+	recentKept = 256
+	// suspectsKept and suspectKeptFor bound what is remembered of tasks whose job is not
+	// here: a caller without an answer sends its job again within seconds.
+	suspectsKept   = 256
+	suspectKeptFor = time.Minute
+	// wordWithin is the time in which a worker that has crashed is back.
+	wordWithin = 15 * time.Second
+	// besideCost is what a suspect's choice of a worker is charged at most for what runs
+	// there and would be lost.
+	besideCost = 100 * time.Millisecond
+)
+
+// crashes is what an entry knows of lost workers.
+type crashes struct {
+	// recent are the jobs under which workers were lost a moment ago.
+	recent []lostUnder
+	// suspects are tasks that were blamed, the oldest first.
+	suspects ordered.Map[string, *suspect]
+}
+
+type lostUnder struct {
+	job string
+	at  time.Time
+}
+
+// suspect is a blamed task with the time of the last word about it.
+type suspect struct {
+	runs.Suspect
+	at time.Time
+}
+
+// add notes that a worker was lost under a job.
+func (c *crashes) add(now time.Time, job string) {
+	c.recent = append(c.recent, lostUnder{job, now})
+	for len(c.recent) > recentKept || now.Sub(c.recent[0].at) > lostLately {
+		c.recent = c.recent[1:]
+	}
+}
+
+// others counts the other jobs under which workers were lost within a time.
+func (c *crashes) others(now time.Time, job string, within time.Duration) int {
+	others := make(map[string]bool)
+	for _, l := range c.recent {
+		if l.job != job && now.Sub(l.at) <= within {
+			others[l.job] = true
+		}
+	}
+	return len(others)
+}
+
+// workerLost counts a worker that has crashed under a task.
+func (c *Core) workerLost(t *task, worker string, end runs.End) {
+	t.lost++
+	if t.crashed == nil {
+		t.crashed = make(map[uint32]bool)
+	}
+	t.crashed[end.Key.Run] = true
+	c.crashes.add(c.now, t.job.name)
+	if end.Suspect && c.crashes.others(c.now, t.job.name, sharedWithin) < sharedJobs {
+		t.blamed++
+	}
+	c.noteLost(t, worker, end)
+	if t.job.durable != nil && !t.job.ended {
+		c.changed(t.job, recordEvery)
+	}
+	c.giveUpCrashing(t)
+}
+
+// workerSilent notes that a worker was lost under a task and may have crashed. Nothing
+// waits for the answer to an awaited job but its caller, so that counts as a crash; a
+// durable job must not fail for a cut.
+func (c *Core) workerSilent(t *task, worker string, end runs.End) {
+	if t.job.durable == nil {
+		c.workerLost(t, worker, end)
+		return
+	}
+	if t.lapsed == nil {
+		t.lapsed = make(map[uint32]time.Time)
+	}
+	t.lapsed[end.Key.Run] = c.now
+	c.noteLost(t, worker, end)
+}
+
+// lostBefore reports whether a run that is over was lost with a worker which has crashed, as
+// is known now: the worker went silent first, or another entry owned the job.
+func (t *task) lostBefore(run uint32) bool {
+	if t.job.durable == nil || t.crashed[run] || t.state == taskPlaced && t.run == run {
+		return false
+	}
+	delete(t.lapsed, run)
+	return true
+}
+
+// restoreLapsed takes the number of runs of a former owner that were lost with silent
+// workers. Their numbers are not known, but are below those of later runs.
+func (t *task) restoreLapsed(now time.Time, count int) {
+	for n := range count {
+		if t.lapsed == nil {
+			t.lapsed = make(map[uint32]time.Time)
+		}
+		t.lapsed[uint32(n)] = now
+	}
+}
+
+func (c *Core) noteLost(t *task, worker string, end runs.End) {
+	c.note(Note{
+		Event: "worker lost", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Key: end.Key, Worker: worker,
+		Reason: end.Reason.String(), Lost: t.lost, Blamed: t.blamed,
+	})
+	if t.job.durable == nil && c.crashes.others(c.now, t.job.name, sharedWithin) < sharedJobs {
+		c.suspects(runs.Suspect{Task: t.name, Lost: t.lost, Blamed: t.blamed})
+	}
+}
+
+// giveUpCrashing gives the job of a task up that crashes workers.
+func (c *Core) giveUpCrashing(t *task) {
+	if c.crashing(t) {
+		c.giveUp(t.job, errkind.TaskFailed, "its task crashes workers")
+	}
+}
+
+// patience is how much is put up with of a task.
+type patience struct {
+	// blamed is the number of crashes put down to it after which it is given up, amidst
+	// that number while workers are lost under other jobs, too: some are chance then.
+	blamed, amidst int
+	// lost is the number of workers lost under it after which it is given up whatever the
+	// cause: a crash need not show which run it came from.
+	lost int
+}
+
+var (
+	// patienceDurable keeps the starts of a task that crashes workers within what the
+	// platform bears: two more after three crashes.
+	patienceDurable = patience{blamed: 2, amidst: 3, lost: 4}
+	// patienceAwaited is longer, since a worker that went silent counts as one that
+	// crashed, and the job ends with its caller's patience anyway.
+	patienceAwaited = patience{blamed: 2, amidst: 4, lost: 8}
+)
+
+// crashing reports whether a task is taken to crash each worker that starts it.
+func (c *Core) crashing(t *task) bool {
+	limit := patienceAwaited
+	if t.job.durable != nil {
+		limit = patienceDurable
+	}
+	blamed := limit.blamed
+	if c.crashes.others(c.now, t.job.name, lostLately) >= sharedJobs {
+		blamed = limit.amidst
+	}
+	return t.blamed >= blamed || t.lost >= limit.lost
+}
+
+// awaitsWord reports whether a task has to wait until it is known of a silent worker
+// whether that has crashed: it may have had as many starts as are allowed.
+func (c *Core) awaitsWord(t *task) bool {
+	if t.lost+len(t.lapsed) < patienceDurable.lost {
+		return false
+	}
+	for run, at := range t.lapsed {
+		if c.now.Sub(at) > wordWithin {
+			delete(t.lapsed, run)
+		}
+	}
+	return t.lost+len(t.lapsed) >= patienceDurable.lost
+}
+
+// suspicion tells beside what a task may start.
+func (t *task) suspicion() runs.Suspicion {
+	switch {
+	case t.lost+len(t.lapsed) >= 2:
+		return runs.Alone
+	case t.blamed > 0:
+		return runs.Apart
+	}
+	return runs.Trusted
+}
+
+// suspects remembers a blamed task and has the other entries told. It reports whether that
+// is news.
+func (c *Core) suspects(s runs.Suspect) bool {
+	old := c.crashes.suspects.Get(s.Task)
+	if old != nil && old.Lost >= s.Lost && old.Blamed >= s.Blamed {
+		return false
+	}
+	if old != nil {
+		s.Lost, s.Blamed = max(s.Lost, old.Lost), max(s.Blamed, old.Blamed)
+		c.crashes.suspects.Delete(s.Task)
+	}
+	c.crashes.suspects.Put(s.Task, &suspect{s, c.now})
+	c.forgetSuspects()
+	c.out.Suspects = append(c.out.Suspects, s)
+	return true
+}
+
+// Suspected reports whether workers are known to have been lost under a task.
+func (c *Core) Suspected(name string) bool { return c.crashes.suspects.Has(name) }
+
+// forgetSuspects drops the oldest beyond the bounds.
+func (c *Core) forgetSuspects() {
+	for name, s := range c.crashes.suspects.All() {
+		if c.crashes.suspects.Len() <= suspectsKept && c.now.Sub(s.at) <= suspectKeptFor {
+			return
+		}
+		c.crashes.suspects.Delete(name)
+	}
+}
+
+// LearnSuspects takes what other entries say of tasks that crash workers.
+func (c *Core) LearnSuspects(now time.Time, list []runs.Suspect) {
+	c.Now(now)
+	for _, s := range list {
+		if !c.suspects(s) {
+			continue
+		}
+		if t := c.byTask[s.Task]; t != nil && t.job.durable == nil {
+			t.takeSuspect(s)
+			c.giveUpCrashing(t)
+		}
+	}
+}
+
+func (t *task) takeSuspect(s runs.Suspect) {
+	t.lost, t.blamed = max(t.lost, s.Lost), max(t.blamed, s.Blamed)
+}
+
+// recallSuspects gives the tasks of a job that was handed in what is known of them. It
+// reports whether one of them is given up already.
+func (c *Core) recallSuspects(j *job) bool {
+	condemned := false
+	if c.crashes.suspects.Len() == 0 {
+		return false
+	}
+	for i := range j.steps {
+		for _, t := range j.steps[i].tasks {
+			if s := c.crashes.suspects.Get(t.name); s != nil {
+				t.takeSuspect(s.Suspect)
+				condemned = condemned || c.crashing(t)
+			}
+		}
+	}
+	return condemned
+}
+
+// beside is what the choice of a worker costs a suspect for what it might take with it.
+func (c *Core) beside(a *agent, t *task) time.Duration {
+	if t.suspicion() == runs.Trusted || a.worker.Capacity.CPU <= 0 {
+		return 0
+	}
+	used := a.worker.Capacity.CPU - max(a.load.Free.CPU, 0)
+	return besideCost * time.Duration(used) / time.Duration(a.worker.Capacity.CPU)
+}
+
+// lastRoom reports whether a task that has to run alone would take the last worker with
+// room: a crash there would leave none.
+func (c *Core) lastRoom(t *task) bool {
+	if t.suspicion() != runs.Alone {
+		return false
+	}
+	free := 0
+	for _, a := range c.usable {
+		if a.load.Free.Fits(t.step.Need) {
+			free++
+		}
+	}
+	return free < 2
+}
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -101,7 +101,7 @@
 		j.arrived = now.Add(now.Sub(d.SafeAt))
 	}
 	for i := range d.Progress {
-		j.restore(&d.Progress[i])
+		j.restore(now, &d.Progress[i])
 	}
 	c.jobs.Put(j.name, j)
 	for i := range j.steps {
--- a/core/batch/ends.go
+++ b/core/batch/ends.go
@@ -8,6 +8,10 @@
 // endOf handles the end of a run.
 func (c *Core) endOf(worker string, end runs.End) {
 	t := c.byTask[end.Key.Task]
+	if t != nil && end.Reason == runs.Crashed && t.lostBefore(end.Key.Run) {
+		c.workerLost(t, worker, end)
+		return
+	}
 	if t == nil || t.state != taskPlaced || t.run != end.Key.Run {
 		return // of an earlier run or a job that is forgotten
 	}
@@ -62,6 +66,12 @@
 
 // ranBadly counts a run that did not complete its task.
 func (c *Core) ranBadly(t *task, worker string, end runs.End) {
+	switch end.Reason {
+	case runs.Crashed:
+		c.workerLost(t, worker, end)
+	case runs.Lapsed:
+		c.workerSilent(t, worker, end)
+	}
 	switch end.How {
 	case runs.Failed:
 		c.taskFailed(t, worker)
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -75,6 +75,14 @@
 	// failedOn are the workers on which it failed.
 	failedOn map[string]int
 	failures int
+	// lost counts the workers that were lost under it, blamed the crashes that are put
+	// down to it.
+	lost, blamed int
+	// lapsed are the runs that were lost with a worker which went silent, with the time of
+	// it, as long as it is not known whether the worker had crashed.
+	lapsed map[uint32]time.Time
+	// crashed are the runs that were counted as lost with a worker that crashed.
+	crashed map[uint32]bool
 	// refusedBy are the workers that refused it, with their number of refusals.
 	refusedBy map[string]int
 	// checkpoint resumes the task; empty if there is none.
@@ -119,6 +127,11 @@
 		return
 	}
 	j := c.newJob(r)
+	if c.recallSuspects(j) {
+		c.out.Answers = append(c.out.Answers, Answer{Request: r.ID, Kind: errkind.TaskFailed})
+		c.note(Note{Event: "give up", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: "its task crashes workers"})
+		return
+	}
 	plan, refused := c.admit(j)
 	deferred := refused != nil && refused.late && c.mayDefer(j)
 	c.yields.of(c.now, j.queue).offered++
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -111,6 +111,10 @@
 }
 
 func (c *Core) planTask(p *plan, t *task) {
+	if c.lastRoom(t) || c.awaitsWord(t) {
+		p.missing++
+		return
+	}
 	var best *agent
 	var bestWait, bestRun, bestCost time.Duration
 	var bestFree int
@@ -216,7 +220,7 @@
 // cost is what the choice of a worker is judged by: the expected time to the
 // end. Workers on which the task has failed before come last.
 func (c *Core) cost(a *agent, t *task, wait, run time.Duration) time.Duration {
-	cost := c.likelyWait(wait) + run
+	cost := c.likelyWait(wait) + run + c.beside(a, t)
 	if a.worker.DataCentre != c.settings.DataCentre {
 		cost += c.settings.CrossCost
 	}
@@ -267,6 +271,7 @@
 	a.out.Starts = append(a.out.Starts, runs.Start{
 		Key: t.key(), Spec: j.spec, Need: t.step.Need, Estimate: t.step.estimate,
 		Slack: j.slackLeft(c.now), Patience: c.patience(j), Checkpoint: t.checkpoint, Durable: j.durable != nil,
+		Suspicion: t.suspicion(),
 	})
 	c.mark(a)
 	c.note(Note{
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -20,6 +20,12 @@
 	Abandoned uint32 `cbor:"7,keyasint,omitempty"`
 	// Checkpoint resumes the task.
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
+	// Lost counts the workers that were lost under the task, Blamed the crashes that are
+	// put down to it.
+	Lost   int `cbor:"8,keyasint,omitempty"`
+	Blamed int `cbor:"9,keyasint,omitempty"`
+	// Lapsed counts the workers that went silent under the task and may have crashed.
+	Lapsed int `cbor:"10,keyasint,omitempty"`
 }
 
 // Record is what the store shall keep of a job from now on.
@@ -55,7 +61,7 @@
 )
 
 // restore takes what the store has of a task.
-func (j *job) restore(p *TaskProgress) {
+func (j *job) restore(now time.Time, p *TaskProgress) {
 	if p.Step >= len(j.steps) || p.Index >= len(j.steps[p.Step].tasks) {
 		return
 	}
@@ -63,6 +69,8 @@
 	t := s.tasks[p.Index]
 	t.failures, t.run, t.counted, t.checkpoint = p.Failures, p.Run, p.Run, p.Checkpoint
 	t.abandoned = p.Abandoned
+	t.lost, t.blamed = p.Lost, p.Blamed
+	t.restoreLapsed(now, p.Lapsed)
 	if p.Run > 0 {
 		t.handled = map[uint32]bool{p.Run: true}
 	}
@@ -84,6 +92,7 @@
 			}
 			p := TaskProgress{
 				Step: i, Index: n, Done: t.state == taskDone, Failures: t.failures, Run: t.counted, Abandoned: t.abandoned,
+				Lost: t.lost, Blamed: t.blamed, Lapsed: len(t.lapsed),
 			}
 			if !p.Done {
 				p.Checkpoint = t.checkpoint
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -126,9 +126,11 @@
 	// lookedAt is when the last look was made.
 	lookedAt time.Time
 	recent   recentEnds
-	pace     pace
-	draining bool
-	drains   drains.State
+	// lapsedEnds are ends of which it is not known yet whether the worker had crashed.
+	lapsedEnds []lapsedEnd
+	pace       pace
+	draining   bool
+	drains     drains.State
 	// emptied is true once nothing runs here any more since the data centre was drained.
 	emptied bool
 	// startedAt is the time of the first event.
@@ -385,7 +387,7 @@
 			left = left.Minus(r.need)
 		}
 	}
-	return left
+	return c.roomBeside(left)
 }
 
 // Owes reports whether runs of a link's entry are here.
--- a/core/runner/life.go
+++ b/core/runner/life.go
@@ -83,6 +83,9 @@
 		next = former.candidate
 	}
 	c.retire(former.info.Life())
+	c.markSuspects()
+	crashed := c.lostReason()
+	c.settleLapsed(crashed == runs.Crashed)
 	c.refuseWaiting(runs.NoWorker)
 	c.held = ordered.Map[int64, *heldEnd]{} // what the former one listed is gone with it
 	c.worker = workerState{
@@ -95,6 +98,7 @@
 		if r.phase == phaseOrdered {
 			r.phase = phaseDoubtful
 		}
+		r.lost = crashed
 	}
 	c.noteLife("worker restarted", former.info.Life())
 	c.workerChanged()
@@ -104,7 +108,7 @@
 // lost. If it was carried out, that may have been by the next incarnation.
 func (c *Core) strandedAnswered(r *run, a Answer) {
 	if a.Verdict != Accepted {
-		c.finish(r, runs.End{Key: r.key, How: runs.Stopped, Reason: runs.NoWorker})
+		c.finish(r, c.lostEnd(r, runs.Stopped, r.lost))
 		return
 	}
 	r.phase = phaseDoubtful
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -269,6 +269,7 @@
 	switch a.Verdict {
 	case Accepted:
 		c.worker.doubted = false
+		c.settleLapsed(false)
 		c.worker.acknowledged = max(c.worker.acknowledged, look.LastSeen)
 		c.worker.lookedAt = look.SentAt
 		c.dropCandidate()
@@ -343,7 +344,7 @@
 		if r.phase == phaseWaiting {
 			continue // an older process's run of this number; its stop settles it
 		}
-		r.life = c.worker.info.Life()
+		r.life, r.lost, r.suspect = c.worker.info.Life(), runs.NoReason, false
 		c.confirm(r)
 		r.percent = listed.Percent
 		r.checkpoint = listed.Checkpoint
@@ -365,7 +366,7 @@
 		}
 		switch {
 		case r.phase != phaseWaiting && r.life != c.worker.info.Life():
-			c.finish(r, runs.End{Key: r.key, How: runs.Gone, Reason: runs.NoWorker})
+			c.finish(r, c.lostEnd(r, runs.Gone, r.lost))
 		case r.phase == phaseRunning && r.confirmedAt.Before(look.SentAt):
 			c.finish(r, runs.End{Key: r.key, How: runs.Gone})
 		case r.phase == phaseDoubtful && c.cannotStart(r, look):
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -35,6 +35,10 @@
 	// stranded is set while the worker is gone and the answer to the start is on its way:
 	// it may be that of the next incarnation.
 	stranded bool
+	// lost tells how the incarnation that it was started in was lost, suspect whether a
+	// crash is put down to it.
+	lost    runs.Reason
+	suspect bool
 	// orphan marks a run of a former agent process that no entry has claimed.
 	orphan bool
 	// durable runs' ends are held until their entry has stored them.
@@ -141,6 +145,7 @@
 		return
 	}
 	left := c.roomLeft()
+	gate := c.newGate()
 	var still waiting
 	for _, r := range c.queue {
 		if !c.linked(r.owner) {
@@ -154,7 +159,15 @@
 			}
 			continue
 		}
+		if !gate.admits(r.start.Suspicion) {
+			still = append(still, r)
+			if r.start.Suspicion == runs.Alone {
+				left = room.Room{} // else the worker would never be empty
+			}
+			continue
+		}
 		left = left.Minus(r.need)
+		gate.pass(r.start.Suspicion)
 		c.order(r, lease)
 	}
 	c.queue = still
@@ -248,6 +261,9 @@
 	end, ok := c.recent.find(key)
 	if !ok {
 		end = runs.End{Key: key, How: runs.Gone}
+		if len(c.former.order) > 0 {
+			end.Reason = runs.Crashed // a former process of this agent had it there
+		}
 	}
 	for h := range c.held.Values() {
 		if h.end.Key == key {
@@ -278,8 +294,13 @@
 	c.loadChanged = true
 	c.recent.add(end)
 	c.note("end "+end.How.String(), r, end.Reason)
+	c.tellEnd(r.owner, end)
+}
+
+// tellEnd tells the owner of a run how it ended.
+func (c *Core) tellEnd(owner runs.Entry, end runs.End) {
 	for l := range c.links.Values() {
-		if l.entry.Incarnation == r.owner.Incarnation {
+		if l.entry.Incarnation == owner.Incarnation {
 			l.out.Ends = append(l.out.Ends, end)
 			l.dirty = true
 		}
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -162,7 +162,9 @@
 	if c.worker.known {
 		c.retire(c.worker.info.Life())
 	}
-	c.endAll(runs.NoWorker)
+	c.markSuspects()
+	c.settleLapsed(c.lostReason() == runs.Crashed)
+	c.endAll(c.lostReason())
 	c.worker = workerState{info: runs.Worker{Agent: c.settings.Agent}}
 	c.workerChanged()
 }
@@ -172,15 +174,15 @@
 	for r := range c.runs.Values() {
 		if r.phase == phaseWaiting {
 			c.queue.remove(r)
-			c.finish(r, runs.End{Key: r.key, How: runs.Refused, Reason: reason})
+			c.finish(r, runs.End{Key: r.key, How: runs.Refused, Reason: runs.NoWorker})
 			continue
 		}
 		if r.phase == phaseOrdered && r.life.Born != 0 {
-			r.stranded = true
+			r.stranded, r.lost = true, reason
 			continue
 		}
 		if !r.stranded {
-			c.finish(r, runs.End{Key: r.key, How: runs.Stopped, Reason: reason})
+			c.finish(r, c.lostEnd(r, runs.Stopped, reason))
 		}
 	}
 }
@@ -249,7 +251,9 @@
 	}
 	c.worker.synced = false
 	c.worker.epoch++
-	c.endAll(runs.NoWorker)
+	c.markSuspects()
+	c.rememberLapsed()
+	c.endAll(runs.Lapsed)
 	c.workerChanged()
 }
 
--- a/lab/emulator/callers.go
+++ b/lab/emulator/callers.go
@@ -20,6 +20,8 @@
 	steps []batch.Step
 	// run returns how long a worker takes for a start, and whether it fails.
 	run func(key runs.Key) (time.Duration, bool)
+	// crashes tells whether a run crashes its worker, and after which time; nil if none does.
+	crashes func(key runs.Key) (time.Duration, bool)
 	// patience is how long the caller waits for an answer.
 	patience time.Duration
 	durable  bool
--- a/lab/emulator/checks.go
+++ b/lab/emulator/checks.go
@@ -27,6 +27,9 @@
 	// doneRuns are the runs of durable tasks that ended done.
 	doneRuns     map[string][]*doneRun
 	done, starts int
+	// crashed counts the workers that a task has crashed, startedAfter its starts after
+	// that reached the bound.
+	crashed, startedAfter map[string]int
 }
 
 func newChecks(w *world) checks {
@@ -34,6 +37,7 @@
 		w: w, runningOn: make(map[string]map[*worker]bool), began: make(map[string]bool),
 		answered: make(map[string][]batch.Answer), attempts: make(map[string]int), open: make(map[string]int),
 		accepted: make(map[string]bool), doneRuns: make(map[string][]*doneRun),
+		crashed: make(map[string]int), startedAfter: make(map[string]int),
 	}
 }
 
@@ -41,10 +45,15 @@
 	c.broken = append(c.broken, fmt.Sprintf("%v: ", c.w.since())+fmt.Sprintf(format, args...))
 }
 
+// capacityHeard is the time in which an agent has heard of another capacity, some
+// announcements being late.
+const capacityHeard = 2 * time.Second
+
 // startedOn checks what must hold when a worker starts a run.
 func (c *checks) startedOn(key runs.Key, k *worker) {
 	c.starts++
 	c.restarts(key)
+	c.startsAfterCrashes(key)
 	c.startedWhileDrained(key, k)
 	job := key.Job()
 	c.began[job] = true
@@ -69,11 +78,34 @@
 	for r := range k.running.Values() {
 		used = used.Plus(r.need)
 	}
-	if !k.capacity.Fits(used) {
+	if !k.mayUse(capacityHeard).Fits(used) {
 		c.breaks("%s is over its room: %+v", k.id, used)
 	}
 }
 
+// Bounds of a durable task that crashes workers: so many starts more once so many have
+// crashed.
+const (
+	crashesAllowed = 3
+	startsAllowed  = 2
+)
+
+// crashedBy notes that a run has crashed its worker.
+func (c *checks) crashedBy(key runs.Key, k *worker) {
+	c.crashed[key.Task]++
+	c.w.tell("%s crashes worker %s", key.Task, k.id)
+}
+
+func (c *checks) startsAfterCrashes(key runs.Key) {
+	j := c.w.jobs[key.Job()]
+	if j == nil || !j.durable || c.crashed[key.Task] < crashesAllowed {
+		return
+	}
+	if c.startedAfter[key.Task]++; c.startedAfter[key.Task] > startsAllowed {
+		c.breaks("task %s was started %d times after it had crashed %d workers", key.Task, c.startedAfter[key.Task], c.crashed[key.Task])
+	}
+}
+
 func (c *checks) ranUntil(task string, k *worker) { delete(c.runningOn[task], k) }
 
 // took is an answer that a caller got.
--- a/lab/emulator/entry.go
+++ b/lab/emulator/entry.go
@@ -95,6 +95,9 @@
 			l.toAgent(s.Msg)
 		}
 	}
+	if len(out.Suspects) > 0 {
+		e.tellSuspects(out.Suspects)
+	}
 	for _, a := range out.Answers {
 		if r := e.open.Get(a.Request); r != nil {
 			e.w.answered(e, r, a)
@@ -103,6 +106,19 @@
 	return e.exchange(&out)
 }
 
+// tellSuspects tells the other entries of tasks that crash workers.
+func (e *entryProcess) tellSuspects(list []runs.Suspect) {
+	for _, other := range e.w.entries {
+		if other == e || e.cut || other.cut {
+			continue
+		}
+		other.deliver(gossipEvery/4, func() {
+			other.core.LearnSuspects(e.w.now, list)
+			other.perform()
+		})
+	}
+}
+
 func (e *entryProcess) kill(pause time.Duration) {
 	e.dead = true
 	e.w.tell("%s entry killed", e.address)
--- a/lab/emulator/processes.go
+++ b/lab/emulator/processes.go
@@ -55,6 +55,9 @@
 	entries, chosen map[string]bool
 	looking         bool
 	links           ordered.Map[runner.LinkID, *simLink]
+	// heardLife and heardNumber are those of the newest announcement.
+	heardLife   runs.Life
+	heardNumber int
 	// known is what the registry remembers of the worker.
 	known runs.Worker
 	// drained are the data centres for which chosen was made.
@@ -165,11 +168,17 @@
 		return
 	}
 	info, clock := a.worker.info(), a.worker.clock()
+	a.worker.said++
+	number := a.worker.said
 	late := time.Duration(0)
 	if w.rand.Float64() < w.layout.lateShare {
 		late = time.Duration(w.rand.IntN(3000)) * time.Millisecond
 	}
 	a.deliver(late, func() {
+		if info.Life() == a.heardLife && number < a.heardNumber {
+			return // a newer one has come; the adapter drops it
+		}
+		a.heardLife, a.heardNumber = info.Life(), number
 		a.known = info
 		a.event(func() { a.core.Announced(w.now, info, clock) })
 	})
--- a/lab/emulator/worker.go
+++ b/lab/emulator/worker.go
@@ -49,6 +49,10 @@
 	id       string
 	life     int
 	capacity room.Room
+	// former are capacities that it had a moment ago.
+	former []formerCapacity
+	// said counts the announcements of the incarnation.
+	said int
 	// born is when its clock began, bornMillis the time of its start that it tells.
 	born       time.Time
 	bornMillis int64
@@ -94,7 +98,7 @@
 	k.crash() // unless it is down already
 	k.life++
 	k.bornMillis = max(k.w.now.UnixMilli(), k.bornMillis+1)
-	k.capacity = k.w.layout.capacity(k.number)
+	k.capacity, k.former, k.said = k.w.layout.capacity(k.number), nil, 0
 	k.born = k.w.now.Add(-time.Duration(k.w.rand.IntN(100000)) * time.Millisecond)
 	k.rate = 0.98 + 0.02*k.w.rand.Float64()
 	k.token, k.until, k.ends = 0, 0, 0
@@ -103,6 +107,31 @@
 	k.down, k.draining, k.failing, k.hanging, k.slow = false, false, false, false, 0
 }
 
+// formerCapacity is a capacity that a worker had until a time.
+type formerCapacity struct {
+	room  room.Room
+	until time.Time
+}
+
+// resize changes the capacity to a share of the one in the layout.
+func (k *worker) resize(share float64) {
+	k.former = append(k.former, formerCapacity{k.capacity, k.w.now})
+	k.capacity = k.w.layout.capacity(k.number)
+	k.capacity.CPU = int(share * float64(k.capacity.CPU))
+}
+
+// mayUse is the largest capacity that the worker had within a time: its agent hears of a
+// change with the next announcement.
+func (k *worker) mayUse(within time.Duration) room.Room {
+	most := k.capacity
+	for _, f := range k.former {
+		if k.w.now.Sub(f.until) <= within && f.room.CPU > most.CPU {
+			most = f.room
+		}
+	}
+	return most
+}
+
 // pace returns the share of full pace at which runs get on.
 func (k *worker) pace() float64 {
 	switch {
@@ -228,9 +257,42 @@
 	})
 	k.w.tell("worker %s starts %s/%d", k.id, o.Key.Task, o.Key.Run)
 	k.w.checks.startedOn(o.Key, k)
+	if after, crashes := k.w.crashOf(o.Key); crashes {
+		k.crashAfter(after, o.Key)
+	}
 	return runner.Accepted
 }
 
+// crashAfter has a run crash the worker if it is still there then. It is back after some
+// seconds, under its ID or another one.
+func (k *worker) crashAfter(d time.Duration, key runs.Key) {
+	life := k.life
+	k.w.after(d, func() {
+		r := k.running.Get(key.Task)
+		if k.life != life || k.down || r == nil || r.run != key.Run {
+			return
+		}
+		k.w.checks.crashedBy(key, k)
+		k.crash()
+		k.comeBack(time.Second + time.Duration(k.w.rand.IntN(1000))*time.Millisecond)
+	})
+}
+
+// comeBack has a worker that is down start again after a time.
+func (k *worker) comeBack(d time.Duration) {
+	start := k.restart
+	if k.w.rand.IntN(2) == 0 {
+		start = k.reborn
+	}
+	life := k.life
+	k.w.after(d, func() {
+		if k.life == life {
+			start()
+			k.w.agents[k.number].announceOnce()
+		}
+	})
+}
+
 // lend takes a lease, or the longest one that is granted.
 func (k *worker) lend(deadline int64) {
 	k.until = max(k.until, min(deadline, k.clock()+k.w.layout.longestLease.Milliseconds()))
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -146,6 +146,15 @@
 	lost func()
 }
 
+// crashOf tells whether a run crashes its worker, and after which time.
+func (w *world) crashOf(key runs.Key) (time.Duration, bool) {
+	j := w.jobs[key.Job()]
+	if j == nil || j.crashes == nil {
+		return 0, false
+	}
+	return j.crashes(key)
+}
+
 // startOf returns what a worker does with a start: how long it runs and whether it fails.
 func (w *world) startOf(key runs.Key) (time.Duration, bool) {
 	j := w.jobs[key.Job()]
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -268,6 +268,7 @@
 			waiting <- answer
 		}
 	}
+	e.peers.tellSuspects(out.Suspects)
 	e.logNotes(out.Notes)
 }
 
@@ -325,6 +326,9 @@
 	if n.Deferred {
 		line.Bool("deferred", true)
 	}
+	if n.Lost > 0 {
+		line.Int("workers_lost", n.Lost).Int("blamed", n.Blamed)
+	}
 	return line
 }
 
@@ -338,6 +342,8 @@
 		name = "run." + n.How.String()
 	case "refuse", "defer", "give up":
 		name += "." + strings.ReplaceAll(n.Reason, " ", "_")
+	case "worker lost":
+		name += "." + n.Queue
 	case "done":
 		telemetry.Histogram("job.ms", e.deps.Metrics).Update(n.Age.Milliseconds())
 	}
--- a/service/batch/exchange.go
+++ b/service/batch/exchange.go
@@ -31,6 +31,8 @@
 	// pending are records to tell, all is set if all are to be told.
 	pending []runs.Member
 	all     bool
+	// suspects are tasks to tell that crash workers.
+	suspects []runs.Suspect
 	// closing is set once the exchange shall be closed on purpose.
 	closing bool
 	// differs counts the messages in a row whose digest was another one.
@@ -124,12 +126,12 @@
 	defer p.mu.Unlock()
 	msg := &runs.Gossip{
 		Self: p.view.Self(), Members: x.pending, Digest: p.view.Digest(), ConfigVersion: p.entry.configVersion(),
-		Closing: x.closing, Drains: p.entry.drains.view(boottime.Now()),
+		Closing: x.closing, Drains: p.entry.drains.view(boottime.Now()), Suspects: x.suspects,
 	}
 	if x.all {
 		msg.Members = p.view.Records()
 	}
-	x.pending, x.all = nil, false
+	x.pending, x.all, x.suspects = nil, false, nil
 	return msg
 }
 
@@ -165,6 +167,7 @@
 		silence.Reset(silentAfter)
 		p.hear(x, msg)
 		p.entry.learnDrains(msg.Drains, msg.Self.Entry.Address)
+		p.hearSuspects(msg.Suspects)
 		p.takeConfig(x, msg)
 		now := heard{version: msg.ConfigVersion, want: msg.Want, from: msg.WantFrom}
 		select {
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -111,6 +111,31 @@
 	Checkpoint string `cbor:"7,keyasint,omitempty"`
 	// Durable runs' ends are kept until the entry has stored them.
 	Durable bool `cbor:"8,keyasint,omitempty"`
+	// Suspicion tells beside what the run may start.
+	Suspicion Suspicion `cbor:"9,keyasint,omitempty"`
+}
+
+// Suspicion is how much a task is suspected of crashing the workers that start it.
+type Suspicion uint8
+
+// Suspicions.
+const (
+	// Trusted tasks run beside any other.
+	Trusted Suspicion = iota
+	// Apart tasks run beside no other suspect, so that the next crash tells them apart.
+	Apart
+	// Alone tasks run beside nothing.
+	Alone
+)
+
+// Suspect is a task under which workers were lost, as entries tell each other: a caller
+// that gets no answer sends its job again to any of them.
+type Suspect struct {
+	Task string `cbor:"1,keyasint"`
+	// Lost counts the workers that were lost under it, Blamed those crashes that are put
+	// down to it.
+	Lost   int `cbor:"2,keyasint"`
+	Blamed int `cbor:"3,keyasint,omitempty"`
 }
 
 // Owned is a run that an entry believes an agent to have.
@@ -179,11 +204,15 @@
 	Unanswered
 	// Drained: the operator has drained the worker's data centre.
 	Drained
+	// Crashed: the worker has ended without notice while the run was there.
+	Crashed
+	// Lapsed: the worker was out of reach until its lease had ended.
+	Lapsed
 )
 
 // String returns the name of r in logs.
 func (r Reason) String() string {
-	names := [...]string{"", "no-room", "late", "no-lease", "draining", "no-worker", "unhealthy", "old-run", "asked", "unanswered", "data-centre-drained"}
+	names := [...]string{"", "no-room", "late", "no-lease", "draining", "no-worker", "unhealthy", "old-run", "asked", "unanswered", "data-centre-drained", "worker-crashed", "lease-lapsed"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -200,6 +229,9 @@
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
 	// Held ends are kept until the entry says that it has stored them.
 	Held bool `cbor:"6,keyasint,omitempty"`
+	// Suspect is set if the worker crashed, and this run was alone there or among those
+	// that had begun last.
+	Suspect bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Freeing is an expected change of a worker's room.
@@ -334,4 +366,6 @@
 	Closing bool `cbor:"7,keyasint,omitempty"`
 	// Drains is what the sender knows of drained data centres.
 	Drains Drains `cbor:"11,keyasint"`
+	// Suspects are tasks that the receiver may not know to crash workers.
+	Suspects []Suspect `cbor:"12,keyasint,omitempty"`
 }
