core/runner: what waits in a worker that has shrunk is handed on

Cause: a change of capacity was taken from the announcement, and nothing tested a shrink. Runs that waited there kept waiting for room that was gone until their time had passed, and a new process of the agent recalled the capacity of long ago.

Ruled out: stopping runs (what runs may end; no start brings the worker over what it says).

--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -104,6 +104,7 @@
 		if info.Draining {
 			c.refuseWaiting(runs.Draining)
 		}
+		c.handOn()
 		c.workerChanged()
 	}
 	return true
