A fleet's registry is read in bounded parts, its calls wait by its size, seeds one at a time

Entries read it whole each 15 s, rows were never removed, and gone ones dialled for ever. Two waiting calls an entry, of 1.5 and 1 s, came to more than half of 25,936 calls.

Weighed for the registry: whole reads of changes by the feed (a third waiting call an entry); a bounded sample in the order of the hashed addresses (kept: an entry reads the 16 rows after it on the ring, an agent three from a place of its own). Rows end with their entry: the entry before it removes one that is not alive after three reads without a change; a missing own row is written again. For the calls: a few readers that pass all on (a configuration of 262 kB would cross slow links in several steps before it is in force); longer waits where others are heard (kept: 30 ms times the entries, 1.5 to 6 s, ended early when no exchange is left). Looks at durable jobs wait as long while none is known; questions for a job that is not known, and agents' for an end, end the wait.

Also: an agent at rest does not choose its entries again each quarter second.

Tests count rows read and calls at 50, 200 and 800 and choices at rest, replace 10,000 entries, and have seeds tried one at a time. The stand-in entries of the agent's tests now tell of the others as entries do; releases are counted from the first choice on, since the entries found first may be others.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -168,6 +168,9 @@
 	return n
 }
 
+// Empty reports whether no durable job is known, as far as the rows were read.
+func (c *Core) Empty() bool { return c.loaded && len(c.jobs) == 0 }
+
 // Unconfirmed reports whether jobs wait for a confirmation of ownership.
 func (c *Core) Unconfirmed() bool {
 	if c.confirmed() {
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -100,6 +100,12 @@
 	return m != nil && m.record.Gone
 }
 
+// Lives reports whether an entry is known and alive.
+func (v *View) Lives(address string) bool {
+	m := v.members.Get(address)
+	return m != nil && !m.record.Gone
+}
+
 // Alive returns the entries that are alive, this one first.
 func (v *View) Alive() []runs.Entry {
 	list := make([]runs.Entry, 0, v.alive)
--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -94,6 +94,19 @@
 	return rank(agent, short)[:min(len(short), Total)]
 }
 
+// Ranked orders addresses by their rendezvous score for an agent.
+func Ranked(agent string, addresses []string) []string {
+	entries := make([]runs.Entry, 0, len(addresses))
+	for _, a := range addresses {
+		entries = append(entries, runs.Entry{Address: a})
+	}
+	ranked := make([]string, 0, len(addresses))
+	for _, e := range rank(agent, entries) {
+		ranked = append(ranked, e.Address)
+	}
+	return ranked
+}
+
 // rank orders entries by their rendezvous score for an agent, the highest first.
 func rank(agent string, known []runs.Entry) []runs.Entry {
 	type scored struct {
--- a/service/batch/config.go
+++ b/service/batch/config.go
@@ -17,7 +17,13 @@
 func (e *Entry) followOperator(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
-		update, err := e.deps.Store.NextUpdate(ctx)
+		call, done := e.waits.begin(ctx)
+		update, err := e.deps.Store.NextUpdate(call, storeWait(e.peers.count(), e.peers.exchanges()))
+		ended := call.Err() != nil
+		done()
+		if ended {
+			continue // to wait for a shorter time
+		}
 		if err != nil {
 			if !failing {
 				e.log.Warn().Err(err).Uint64("config", e.configVersion()).Msg("entry: the store does not give the configuration")
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -48,10 +48,10 @@
 	// followPause is the pause after a look that showed something: it bounds the
 	// calls to the store, and how old a job's state may be at other entries.
 	followPause = 80 * time.Millisecond
-	// followWait is how long a look waits for changes. Each one confirms the ownership
-	// of this entry's jobs, and agents' questions about jobs that are not known here
-	// wait for the next one.
-	followWait = time.Second
+	// freshWait is how long a question waits for the known jobs to be as new as it needs,
+	// freshPoll the time between two looks whether they are.
+	freshWait = 250 * time.Millisecond
+	freshPoll = 10 * time.Millisecond
 	// freshness is how new the known jobs must be to say that there is no such job.
 	freshness = 2 * time.Second
 )
@@ -69,7 +69,10 @@
 	total  float64
 	// unconfirmed is true while jobs of this entry wait for a confirmation.
 	unconfirmed atomic.Bool
-	nextID      atomic.Uint64
+	// idle is true while no durable job is known: looks at the changes wait longer then.
+	idle   atomic.Bool
+	looks  storeWaits
+	nextID atomic.Uint64
 }
 
 func newKeeper(e *Entry, s ledger.Settings, writesPerSecond float64) *keeper {
@@ -100,7 +103,13 @@
 	loaded, failing := false, false
 	for ctx.Err() == nil {
 		sentAt := boottime.Now()
-		changes, err := k.look(ctx, loaded, after)
+		call, done := k.looks.begin(ctx)
+		changes, err := k.look(call, loaded, after)
+		ended := call.Err() != nil
+		done()
+		if ended {
+			continue // somebody needs a newer view at once
+		}
 		if err != nil {
 			if !failing {
 				e.log.Warn().Err(err).Msg("entry: the store does not tell the durable jobs")
@@ -140,9 +149,12 @@
 	if !loaded {
 		return k.entry.deps.Store.Jobs(ctx)
 	}
-	wait := followWait
-	if k.unconfirmed.Load() {
+	wait := followShort
+	switch {
+	case k.unconfirmed.Load():
 		wait = 0
+	case k.idle.Load():
+		wait = max(followShort, storeWait(k.entry.peers.count(), k.entry.peers.exchanges()))
 	}
 	return k.entry.deps.Store.JobChanges(ctx, after, wait)
 }
@@ -175,6 +187,31 @@
 		k.entry.core.Settle(now, u.Link, keys, nil)
 	case void:
 		k.entry.core.Settle(now, u.Link, nil, keys)
+	case k.idle.Load():
+		k.looks.end() // the agent keeps the end until a look sent from now on shows no such job
+	}
+}
+
+// freshen has the known jobs be new enough to say that there is no such job, if the store
+// answers in time. Looks wait for long while no durable job is known.
+func (k *keeper) freshen(ctx context.Context) {
+	if k.isFresh() {
+		return
+	}
+	k.looks.end()
+	for deadline := time.Now().Add(freshWait); time.Now().Before(deadline) && !k.isFresh(); {
+		pause(ctx, freshPoll)
+	}
+}
+
+func (k *keeper) isFresh() bool {
+	fresh := make(chan bool, 1)
+	k.entry.post(func(_ *core.Core, now time.Time) { fresh <- k.ledger.Fresh(now, freshness) })
+	select {
+	case f := <-fresh:
+		return f
+	case <-k.entry.work.Done():
+		return true
 	}
 }
 
@@ -223,6 +260,7 @@
 	}
 	k.logNotes(now, out.Notes)
 	k.unconfirmed.Store(k.ledger.Unconfirmed())
+	k.idle.Store(k.ledger.Empty())
 	return len(out.Disowns)+len(out.Cancelled)+len(out.Stored)+len(out.Owns) > 0
 }
 
@@ -266,6 +304,7 @@
 
 // CancelDurable ends a durable job.
 func (e *Entry) CancelDurable(ctx context.Context, name string) errkind.Kind {
+	e.keeper.freshen(ctx)
 	return e.keeper.ask(ctx, func(id ledger.RequestID, now time.Time) { e.keeper.ledger.Cancel(now, id, name) })
 }
 
@@ -305,6 +344,10 @@
 func (e *Entry) JobState(ctx context.Context, name string) JobStatus {
 	ended := make(chan struct{})
 	status := e.jobState(name, ended)
+	if !status.Known && !status.Certain {
+		e.keeper.freshen(ctx)
+		status = e.jobState(name, ended)
+	}
 	if !status.Known || status.State != core.JobRunning {
 		return status
 	}
@@ -341,6 +384,7 @@
 
 // Waiting counts the durable jobs of a queue of which no task has begun.
 func (e *Entry) Waiting(queue string) int {
+	e.keeper.freshen(e.work)
 	n := make(chan int, 1)
 	e.post(func(*core.Core, time.Time) { n <- e.keeper.ledger.Waiting(queue) })
 	select {
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -25,6 +25,7 @@
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
 	"peridotpick.example/core/ledger"
+	"peridotpick.example/core/registry"
 	"peridotpick.example/service/eventloop"
 	"peridotpick.example/service/telemetry"
 	"peridotpick.example/service/transport"
@@ -47,17 +48,19 @@
 
 // Store keeps the operator's wishes and the registry of entries.
 type Store interface {
-	// NextUpdate waits for a change of the operator's wishes. It may return without one
-	// after some time: the view of drained data centres is confirmed then.
-	NextUpdate(ctx context.Context) (Update, error)
+	// NextUpdate waits for a change of the operator's wishes, but not longer than a time.
+	// Without one the view of drained data centres is confirmed.
+	NextUpdate(ctx context.Context, wait time.Duration) (Update, error)
 	// Arriving reports whether a configuration is being read that NextUpdate waits for.
 	Arriving() bool
 	// Parse decodes a document that another entry has passed on.
 	Parse(raw []byte) (*Document, error)
 	// Register makes an entry known.
 	Register(ctx context.Context, e runs.Entry) error
-	// Entries lists the registered entries.
-	Entries(ctx context.Context) ([]runs.Entry, error)
+	// Unregister removes a row of the registry, unless it has changed.
+	Unregister(ctx context.Context, r registry.Row) error
+	// Entries lists registered entries from a place on the ring on, up to a number.
+	Entries(ctx context.Context, place uint64, limit int) ([]registry.Row, error)
 	JobStore
 }
 
@@ -114,6 +117,7 @@
 	nextID   atomic.Uint64
 	config   atomic.Pointer[Document]
 	drains   drainsView
+	waits    storeWaits
 	peers    *peers
 	keeper   *keeper
 	listener net.Listener
--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -4,9 +4,11 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peridotpick.example/core/membership"
+	"peridotpick.example/core/registry"
 	"peridotpick.example/core/subset"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
@@ -42,6 +44,8 @@
 	view  *membership.View
 	// candidates are addresses from the registry that may be out of reach.
 	candidates map[string]bool
+	// registry follows the rows after this entry's own.
+	registry *registry.Watch
 	// contacts are the addresses that a goroutine works for.
 	contacts map[string]*contact
 	// streams are the open exchanges, direct the entries that there was one with, with
@@ -49,6 +53,8 @@
 	streams map[*exchange]bool
 	direct  map[string]time.Time
 	asking  asking
+	// registered is set once this entry's row was written.
+	registered atomic.Bool
 }
 
 // contact is an address that an exchange is kept with.
@@ -61,7 +67,8 @@
 func newPeers(e *Entry) *peers {
 	return &peers{
 		entry: e, view: membership.New(e.self), candidates: make(map[string]bool), contacts: make(map[string]*contact),
-		streams: make(map[*exchange]bool), direct: make(map[string]time.Time),
+		registry: registry.NewWatch(e.self),
+		streams:  make(map[*exchange]bool), direct: make(map[string]time.Time),
 	}
 }
 
@@ -82,6 +89,7 @@
 		case <-ticker.C:
 		}
 		p.judgeLost()
+		p.entry.waits.judge(p.exchanges())
 		if digest := p.digest(); digest != chosenFor || n%chooseEach == 0 {
 			chosenFor = digest
 			p.choose(ctx)
@@ -101,6 +109,7 @@
 		err := p.entry.deps.Store.Register(asking, p.entry.self)
 		cancel()
 		if err == nil {
+			p.registered.Store(true)
 			return
 		}
 		p.entry.log.Warn().Err(err).Msg("entry: not registered yet")
@@ -127,19 +136,40 @@
 func (p *peers) readRegistry(ctx context.Context) {
 	asking, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	entries, err := p.entry.deps.Store.Entries(asking)
+	store := p.entry.deps.Store
+	rows, err := store.Entries(asking, registry.Place(p.entry.self.Address), registry.Followers)
 	if err != nil {
 		p.entry.log.Warn().Err(err).Msg("entry: the registry of entries does not answer")
 		return
 	}
-	p.mu.Lock()
-	for _, e := range entries {
-		p.candidates[e.Address] = true
+	gone, missing := p.takeRows(rows)
+	for _, r := range gone {
+		err := store.Unregister(asking, r)
+		p.entry.log.Info().Err(err).Str("peer", r.Entry.Address).Uint64("incarnation", r.Entry.Incarnation).
+			Msg("entry: row of an entry that is gone removed")
+	}
+	if missing && p.registered.Load() {
+		p.entry.log.Warn().Msg("entry: its row is missing")
+		p.register(ctx)
 	}
-	p.mu.Unlock()
 	p.choose(ctx)
 }
 
+// takeRows adds what the registry lists to the candidates. It returns the rows to remove,
+// and whether this entry's own is missing.
+func (p *peers) takeRows(rows []registry.Row) (gone []registry.Row, missing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	gone, missing = p.registry.Read(rows, p.view.Lives)
+	for _, r := range rows {
+		p.candidates[r.Entry.Address] = true
+	}
+	for _, r := range gone {
+		delete(p.candidates, r.Entry.Address)
+	}
+	return gone, missing
+}
+
 // choose opens exchanges with the neighbours, and closes those with others.
 func (p *peers) choose(ctx context.Context) {
 	wanted := p.neighbours()
--- a/service/batch/peers_test.go
+++ b/service/batch/peers_test.go
@@ -15,6 +15,7 @@
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
 	"peridotpick.example/core/ledger"
+	"peridotpick.example/core/registry"
 	"peridotpick.example/service/transport"
 	"peridotpick.example/wire/runs"
 )
@@ -42,7 +43,7 @@
 
 var errAway = errors.New("away")
 
-func (s *fakeStore) NextUpdate(ctx context.Context) (Update, error) {
+func (s *fakeStore) NextUpdate(ctx context.Context, _ time.Duration) (Update, error) {
 	select {
 	case doc := <-s.docs:
 		return Update{Document: doc}, nil
@@ -60,8 +61,11 @@
 	return document(uint64(raw[0])), nil
 }
 
-func (s *fakeStore) Register(context.Context, runs.Entry) error    { return errAway }
-func (s *fakeStore) Entries(context.Context) ([]runs.Entry, error) { return nil, errAway }
+func (s *fakeStore) Register(context.Context, runs.Entry) error { return errAway }
+func (s *fakeStore) Entries(context.Context, uint64, int) ([]registry.Row, error) {
+	return nil, errAway
+}
+func (s *fakeStore) Unregister(context.Context, registry.Row) error { return errAway }
 
 func document(version uint64) *Document {
 	return &Document{Raw: []byte{byte(version)}, Catalog: catalog.New(version, catalog.Limits{}, nil)}
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -17,6 +17,7 @@
 
 	"peridotpick.example/common/boottime"
 	"peridotpick.example/common/logs"
+	"peridotpick.example/core/registry"
 	core "peridotpick.example/core/runner"
 	"peridotpick.example/service/eventloop"
 	"peridotpick.example/service/telemetry"
@@ -33,8 +34,8 @@
 
 // Registry keeps what agents and entries must find again.
 type Registry interface {
-	// Entries lists entries for an agent that knows none.
-	Entries(ctx context.Context) ([]runs.Entry, error)
+	// Entries lists registered entries from a place on the ring on, up to a number.
+	Entries(ctx context.Context, place uint64, limit int) ([]registry.Row, error)
 	// Remember keeps what a worker said of itself, under its agent's name.
 	Remember(ctx context.Context, w runs.Worker) error
 	// Recall returns what was remembered last; its ID is empty if nothing was.
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -15,10 +15,6 @@
 
 // Times of finding entries.
 const (
-	// lonelyCheck is how often an agent without links looks for entries elsewhere.
-	lonelyCheck = 2 * time.Second
-	// registryTimeout bounds one look into the registry.
-	registryTimeout = time.Second
 	// chooseEvery is how often the choice of entries is looked at anew without a reason.
 	chooseEvery = 250 * time.Millisecond
 	// substituteAfter is how long a chosen entry may be out of reach before another one
@@ -40,7 +36,13 @@
 	// unsettled is true while ends are kept whose entry is not linked. The loop sets it; it
 	// must not wait for mu, which is held while events are handed to the loop.
 	unsettled atomic.Bool
-	wake      chan struct{}
+	// chosen is set while the choice holds: nothing has changed since, and all that are
+	// worked with are linked. chosenFor are the drained data centres for which it was made.
+	chosen    bool
+	chosenFor []string
+	// choices counts the times that entries were chosen.
+	choices int
+	wake    chan struct{}
 }
 
 // contact is a known entry.
@@ -63,13 +65,14 @@
 func (d *directory) run(ctx context.Context) error {
 	ticker := time.NewTicker(chooseEvery)
 	defer ticker.Stop()
-	var searched time.Time
+	s := search{directory: d}
 	for {
-		if d.linked() == 0 && time.Since(searched) >= lonelyCheck {
-			searched = time.Now()
-			d.search(ctx)
+		if d.linked() == 0 {
+			s.next(ctx)
+		} else {
+			s.attempt = 0
 		}
-		d.choose(ctx)
+		d.chooseAnew(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -79,23 +82,6 @@
 	}
 }
 
-func (d *directory) search(ctx context.Context) {
-	seeds := make([]runs.Entry, 0, len(d.agent.settings.Seeds))
-	for _, address := range d.agent.settings.Seeds {
-		seeds = append(seeds, runs.Entry{Address: address})
-	}
-	d.learn(seeds)
-	d.choose(ctx)
-	asking, cancel := context.WithTimeout(ctx, registryTimeout)
-	defer cancel()
-	entries, err := d.agent.deps.Registry.Entries(asking)
-	if err != nil {
-		d.agent.log.Warn().Err(err).Msg("agent: the registry of entries does not answer")
-		return
-	}
-	d.learn(entries)
-}
-
 // learn adds entries.
 func (d *directory) learn(entries []runs.Entry) {
 	d.mu.Lock()
@@ -114,7 +100,14 @@
 	}
 }
 
+// signal has the entries chosen anew. Its caller holds mu.
 func (d *directory) signal() {
+	d.chosen = false
+	d.notify()
+}
+
+// notify wakes the goroutine that chooses.
+func (d *directory) notify() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
@@ -125,8 +118,38 @@
 // not, the agent works with all entries.
 func (d *directory) settle(settled bool) {
 	if d.unsettled.Swap(!settled) == settled {
-		d.signal()
+		d.notify()
+	}
+}
+
+// chooseAnew chooses entries unless the present choice holds. With hundreds of entries a
+// choice at each tick, in which nothing has changed, is most of what an agent without work
+// does.
+func (d *directory) chooseAnew(ctx context.Context) {
+	drained, unsettled := d.agent.drains.dataCentres(), d.unsettled.Load()
+	d.mu.Lock()
+	holds := d.chosen && !unsettled && slices.Equal(drained, d.chosenFor)
+	d.chosen = true // until something changes meanwhile
+	d.mu.Unlock()
+	if holds {
+		return
+	}
+	d.choose(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.choices++
+	d.chosenFor = drained
+	d.chosen = d.chosen && !unsettled && d.allLinked()
+}
+
+// allLinked reports whether all entries that are worked with are linked, and no others.
+func (d *directory) allLinked() bool {
+	for _, c := range d.contacts {
+		if c.wanted != (c.link != nil) {
+			return false
+		}
 	}
+	return len(d.contacts) > 0
 }
 
 // choose opens links to the entries that this agent should work with, and releases others.
@@ -247,6 +270,7 @@
 	if c := d.contacts[address]; c != nil {
 		c.link = nil
 		c.lostAt = time.Now()
+		d.chosen = false
 	}
 }
 
@@ -266,6 +290,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.kept = false
+	d.chosen = false
 	if !left {
 		delete(d.contacts, address)
 	}
--- a/service/runner/directory_test.go
+++ b/service/runner/directory_test.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"peridotpick.example/common/logs"
+	"peridotpick.example/core/registry"
 	core "peridotpick.example/core/runner"
 	"peridotpick.example/core/subset"
 	"peridotpick.example/service/transport"
@@ -32,6 +33,8 @@
 	onDemand atomic.Bool
 	// short is what it says of itself.
 	short atomic.Bool
+	// others are the entries that it tells an agent of.
+	others []runs.Entry
 }
 
 func newStandInEntry(t *testing.T, n int) *standInEntry {
@@ -73,7 +76,7 @@
 	}
 	hello := e.self
 	hello.Short = e.short.Load()
-	if err := stream.Send(&runs.ToAgent{Hello: &hello}); err != nil {
+	if err := stream.Send(&runs.ToAgent{Hello: &hello, Entries: e.others}); err != nil {
 		return err
 	}
 	e.links.Add(1)
@@ -110,10 +113,14 @@
 	drainsAsked int
 }
 
-func (r *standInRegistry) Entries(context.Context) ([]runs.Entry, error) {
+func (r *standInRegistry) Entries(_ context.Context, _ uint64, limit int) ([]registry.Row, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.entries, nil
+	var rows []registry.Row
+	for _, e := range r.entries[:min(limit, len(r.entries))] {
+		rows = append(rows, registry.Row{Entry: e})
+	}
+	return rows, nil
 }
 
 func (r *standInRegistry) Remember(context.Context, runs.Worker) error { return nil }
@@ -141,21 +148,30 @@
 	fleet := make([]*standInEntry, 0, n)
 	for i := range n {
 		e := newStandInEntry(t, i)
-		e.start()
-		t.Cleanup(e.stop)
 		fleet = append(fleet, e)
 		registry.entries = append(registry.entries, e.self)
 	}
+	for _, e := range fleet {
+		e.others = registry.entries
+		e.start()
+		t.Cleanup(e.stop)
+	}
+	return startAgent(t, registry, nil), fleet
+}
+
+// startAgent runs an agent until the test ends.
+func startAgent(t *testing.T, registry Registry, seeds []string) *Agent {
+	t.Helper()
 	settings := core.Standard()
 	settings.Agent, settings.OwnerLease, settings.WorkerLease = "a", 400*time.Millisecond, 800*time.Millisecond
-	a := New(Settings{Name: "a", DataCentre: "d", Core: settings}, Deps{
+	a := New(Settings{Name: "a", DataCentre: "d", Core: settings, Seeds: seeds}, Deps{
 		Logs: logs.Discard(), Transport: transport.New(nil), Worker: idleWorker{}, Registry: registry, Metrics: metrics.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
-	return a, fleet
+	return a
 }
 
 func await(t *testing.T, what string, ok func() bool) {
@@ -201,6 +217,7 @@
 	chosen := chosenOf(fleet)
 	is.Equal(len(chosen), subset.Total)
 	await(t, "the chosen entries are not linked", func() bool { return same(linked(fleet), chosen) })
+	before := releases(fleet) // of the first entries that it found
 	var away *standInEntry
 	for _, e := range fleet {
 		if chosen[e.self.Address] {
@@ -211,11 +228,55 @@
 	await(t, "nobody stands in", func() bool { return len(linked(fleet)) == subset.Total && !same(linked(fleet), chosen) })
 	away.start()
 	await(t, "the choice is not restored", func() bool { return same(linked(fleet), chosen) })
-	released := int64(0)
+	is.Equal(releases(fleet)-before, int64(1))
+}
+
+func releases(fleet []*standInEntry) int64 {
+	n := int64(0)
 	for _, e := range fleet {
-		released += e.releases.Load()
+		n += e.releases.Load()
+	}
+	return n
+}
+
+// TestAgentTriesSeedsOneAtATimeWhenTheRegistryListsNobody: seeds are the same for many
+// agents, each of which would link to all of them.
+func TestAgentTriesSeedsOneAtATimeWhenTheRegistryListsNobody(t *testing.T) {
+	is := is.New(t)
+	var fleet []*standInEntry
+	var seeds []string
+	for i := range 3 {
+		e := newStandInEntry(t, i)
+		e.start()
+		t.Cleanup(e.stop)
+		fleet, seeds = append(fleet, e), append(seeds, e.self.Address)
+	}
+	startAgent(t, &standInRegistry{}, seeds)
+	await(t, "no seed is linked", func() bool { return len(linked(fleet)) > 0 })
+	time.Sleep(time.Second)
+	is.Equal(len(linked(fleet)), 1)
+	for _, e := range fleet {
+		if e.links.Load() > 0 {
+			e.stop()
+		}
+	}
+	await(t, "the next seed is not linked", func() bool { return len(linked(fleet)) > 0 })
+}
+
+// TestAgentAtRestDoesNotChooseAgain: nothing has changed.
+func TestAgentAtRestDoesNotChooseAgain(t *testing.T) {
+	is := is.New(t)
+	a, fleet := fleetOf(t, subset.Total+6)
+	await(t, "the chosen entries are not linked", func() bool { return same(linked(fleet), chosenOf(fleet)) })
+	choices := func() int {
+		a.dir.mu.Lock()
+		defer a.dir.mu.Unlock()
+		return a.dir.choices
 	}
-	is.Equal(released, int64(1))
+	time.Sleep(2 * chooseEvery)
+	before := choices()
+	time.Sleep(4 * chooseEvery)
+	is.Equal(choices(), before)
 }
 
 // TestLastEntryReachesTheAgent: whoever is left of a fleet gets the link.
--- a/service/runner/drains.go
+++ b/service/runner/drains.go
@@ -44,7 +44,7 @@
 	}
 	a.drains.known.Store(&drained)
 	telemetry.Gauge("drained_data_centres", a.deps.Metrics, int64(len(drained)))
-	a.dir.signal()
+	a.dir.notify()
 }
 
 // confirmDrains asks the store which data centres are drained while no entry can tell.
