--- a/lab/emulator/crash_test.go
+++ b/lab/emulator/crash_test.go
@@ -48,9 +48,7 @@
 	falsely, failed, open int
 }
 
-// playCrashes runs one schedule in which some jobs crash workers, beside faults.
-func playCrashes(seed uint64) *world { return playCrashing(seed).world }
-
+// playCrashing runs one schedule in which some jobs crash workers, beside faults.
 func playCrashing(seed uint64) *crashPlay {
 	w := newWorld(seed, crashLayout())
 	w.story = *oneSeed != 0
