A job fails only for workers that have crashed under a run which had begun

The rule on jobs shown as failed holds for awaited jobs, too; an earlier reading had them counted for silent workers.

Change: a crash is put down to the last run that has certainly begun; a start without an answer counts as a loss only once the crash is proved; a silent worker counts for no job until it is back.

--- a/core/batch/crash.go
+++ b/core/batch/crash.go
@@ -18,6 +18,14 @@
 // The load it answers: a few jobs of a queue crash all that they touch. Without it each of
 // them goes from worker to worker until its caller leaves, and a durable one for ever.
 const (
+	// blamedLimit is the number of crashes put down to a task after which it is given up,
+	// blamedAmidst that number while workers are lost under other jobs, too: some are
+	// chance then.
+	blamedLimit  = 2
+	blamedAmidst = 3
+	// lostLimit is the number of workers that have crashed under a task after which it is
+	// given up whatever else: a crash need not show which run it came from.
+	lostLimit = 4
 	// sharedWithin is the time within which losses count as one event, and sharedJobs the
 	// number of other jobs that it must have met to have a cause outside.
 	sharedWithin = 500 * time.Millisecond
@@ -93,14 +101,9 @@
 	c.giveUpCrashing(t)
 }
 
-// workerSilent notes that a worker was lost under a task and may have crashed. Nothing
-// waits for the answer to an awaited job but its caller, so that counts as a crash; a
-// durable job must not fail for a cut.
+// workerSilent notes that a worker was lost under a task and may have crashed. No job fails
+// for a cut: the task is suspected, and that is all until the worker is back.
 func (c *Core) workerSilent(t *task, worker string, end runs.End) {
-	if t.job.durable == nil {
-		c.workerLost(t, worker, end)
-		return
-	}
 	if t.lapsed == nil {
 		t.lapsed = make(map[uint32]time.Time)
 	}
@@ -111,7 +114,7 @@
 // lostBefore reports whether a run that is over was lost with a worker which has crashed, as
 // is known now: the worker went silent first, or another entry owned the job.
 func (t *task) lostBefore(run uint32) bool {
-	if t.job.durable == nil || t.crashed[run] || t.state == taskPlaced && t.run == run {
+	if t.crashed[run] || t.state == taskPlaced && t.run == run {
 		return false
 	}
 	delete(t.lapsed, run)
@@ -134,7 +137,7 @@
 		Event: "worker lost", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Key: end.Key, Worker: worker,
 		Reason: end.Reason.String(), Lost: t.lost, Blamed: t.blamed,
 	})
-	if t.job.durable == nil && c.crashes.others(c.now, t.job.name, sharedWithin) < sharedJobs {
+	if t.job.durable == nil && t.lost > 0 && c.crashes.others(c.now, t.job.name, sharedWithin) < sharedJobs {
 		c.suspects(runs.Suspect{Task: t.name, Lost: t.lost, Blamed: t.blamed})
 	}
 }
@@ -146,42 +149,19 @@
 	}
 }
 
-// patience is how much is put up with of a task.
-type patience struct {
-	// blamed is the number of crashes put down to it after which it is given up, amidst
-	// that number while workers are lost under other jobs, too: some are chance then.
-	blamed, amidst int
-	// lost is the number of workers lost under it after which it is given up whatever the
-	// cause: a crash need not show which run it came from.
-	lost int
-}
-
-var (
-	// patienceDurable keeps the starts of a task that crashes workers within what the
-	// platform bears: two more after three crashes.
-	patienceDurable = patience{blamed: 2, amidst: 3, lost: 4}
-	// patienceAwaited is longer, since a worker that went silent counts as one that
-	// crashed, and the job ends with its caller's patience anyway.
-	patienceAwaited = patience{blamed: 2, amidst: 4, lost: 8}
-)
-
 // crashing reports whether a task is taken to crash each worker that starts it.
 func (c *Core) crashing(t *task) bool {
-	limit := patienceAwaited
-	if t.job.durable != nil {
-		limit = patienceDurable
-	}
-	blamed := limit.blamed
+	blamed := blamedLimit
 	if c.crashes.others(c.now, t.job.name, lostLately) >= sharedJobs {
-		blamed = limit.amidst
+		blamed = blamedAmidst
 	}
-	return t.blamed >= blamed || t.lost >= limit.lost
+	return t.blamed >= blamed || t.lost >= lostLimit
 }
 
 // awaitsWord reports whether a task has to wait until it is known of a silent worker
 // whether that has crashed: it may have had as many starts as are allowed.
 func (c *Core) awaitsWord(t *task) bool {
-	if t.lost+len(t.lapsed) < patienceDurable.lost {
+	if t.lost+len(t.lapsed) < lostLimit {
 		return false
 	}
 	for run, at := range t.lapsed {
@@ -189,7 +169,7 @@
 			delete(t.lapsed, run)
 		}
 	}
-	return t.lost+len(t.lapsed) >= patienceDurable.lost
+	return t.lost+len(t.lapsed) >= lostLimit
 }
 
 // suspicion tells beside what a task may start.
--- a/core/runner/crash.go
+++ b/core/runner/crash.go
@@ -7,8 +7,8 @@
 
 // A task may crash each worker that starts it. Its entry counts the workers that were lost
 // under each task. To tell such a task from those that ran beside it, a crash is put down
-// to the runs that were alone at the worker or had begun last, and a task that is suspected
-// already runs apart from other suspects, or alone.
+// to the run that had begun last, and a task that is suspected already runs apart from
+// other suspects, or alone.
 
 // lostReason tells why the runs of the present incarnation are over.
 func (c *Core) lostReason() runs.Reason {
@@ -18,31 +18,22 @@
 	return runs.Crashed
 }
 
-// markSuspects marks the runs to which the loss of the worker is put down, if that is a
-// crash: the last that has begun, and the first whose start got no answer.
+// markSuspects marks the run to which the loss of the worker is put down, if that is a
+// crash: the last that has certainly begun. A start without an answer may have found the
+// worker gone.
 func (c *Core) markSuspects() {
 	if c.lostReason() != runs.Crashed {
 		return
 	}
-	var last, first *run
+	var last *run
 	for r := range c.runs.Values() {
-		switch {
-		case r.phase == phaseRunning:
-			if last == nil || r.confirmedAt.After(last.confirmedAt) {
-				last = r
-			}
-		case r.phase == phaseOrdered || r.phase == phaseDoubtful && r.orderedAt.After(c.worker.lookedAt):
-			if first == nil || r.orderedAt.Before(first.orderedAt) {
-				first = r
-			}
+		if r.phase == phaseRunning && (last == nil || r.confirmedAt.After(last.confirmedAt)) {
+			last = r
 		}
 	}
 	if last != nil {
 		last.suspect = true
 	}
-	if first != nil {
-		first.suspect = true
-	}
 }
 
 // lostEnd is the end of a run that was lost with its worker.
--- a/lab/emulator/worker.go
+++ b/lab/emulator/worker.go
@@ -68,6 +68,8 @@
 	failing    bool
 	hanging    bool
 	down       bool
+	// refuses is set if connections are refused while it is down; else it is silent then.
+	refuses bool
 	// cut workers reach nobody, and nobody reaches them.
 	cut bool
 	// slow is how many times longer runs take than they should; 0 stands for 1.
@@ -104,6 +106,7 @@
 	k.token, k.until, k.ends = 0, 0, 0
 	k.running, k.highest = ordered.Map[string, *workerRun]{}, make(map[string]uint32)
 	k.ended, k.look = nil, nil
+	k.refuses = (k.life+k.number)%2 == 0
 	k.down, k.draining, k.failing, k.hanging, k.slow = false, false, false, false, 0
 }
 
@@ -158,6 +161,7 @@
 	}
 	k.down = true
 	for task, r := range k.running.All() {
+		k.w.checks.lostUnder[task]++
 		k.w.tally.ran(k, r, runs.Gone)
 		k.w.checks.ranUntil(task, k)
 	}
@@ -206,6 +210,9 @@
 	k.ends++
 	k.ended = append(k.ended, runner.Ended{Number: k.ends, Key: runs.Key{Task: task, Run: r.run}, How: how})
 	k.w.tell("worker %s ends %s/%d %s", k.id, task, r.run, how)
+	if how == runs.Failed {
+		k.w.checks.failedRuns[task]++
+	}
 	if how == runs.Done {
 		k.w.checks.endedDone(k, runs.Key{Task: task, Run: r.run}, k.ends)
 	}
@@ -214,6 +221,9 @@
 
 // order carries an order out.
 func (k *worker) order(o runner.Order, need room.Room) runner.Answer {
+	if k.down && !k.cut && k.refuses {
+		return runner.Answer{Verdict: runner.NotListening}
+	}
 	if k.down || k.cut {
 		return runner.Answer{Verdict: runner.NoAnswer}
 	}
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -229,8 +229,7 @@
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
 	// Held ends are kept until the entry says that it has stored them.
 	Held bool `cbor:"6,keyasint,omitempty"`
-	// Suspect is set if the worker crashed, and this run was alone there or among those
-	// that had begun last.
+	// Suspect is set if the worker crashed, and this run was the last to begin there.
 	Suspect bool `cbor:"7,keyasint,omitempty"`
 }
 
