common: schemas are compiled when a document is read, not at each start of a process

A third of the processor time of a start went into compiling JSON Schemas of the product's own settings and configuration, which the programs on the users' platform never read.

Change: compiled once, on first use. No change of behaviour: the tests of settings and configuration stay.

--- a/common/config/config.go
+++ b/common/config/config.go
@@ -22,7 +22,7 @@
 //go:embed config.schema.json
 var Schema []byte
 
-var schema = settings.MustCompile("config", Schema)
+var schema = settings.LazySchema("config", &Schema)
 
 // Document is the configuration as operators write it.
 type Document struct {
@@ -147,7 +147,7 @@
 func Parse(data []byte) (*Compiled, error) {
 	var doc Document
 	var c *Compiled
-	err := settings.Read(schema, data, &doc, func() settings.Problems {
+	err := settings.Read(schema(), data, &doc, func() settings.Problems {
 		var p settings.Problems
 		c, p = compile(doc)
 		return p
--- a/common/settings/problems.go
+++ b/common/settings/problems.go
@@ -5,6 +5,7 @@
 	_ "embed" // the schemas
 	"fmt"
 	"strings"
+	"sync"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"golang.org/x/text/language"
@@ -19,9 +20,13 @@
 	EntrySchema []byte
 	//go:embed agent.schema.json
 	AgentSchema []byte
+)
 
-	entrySchema = MustCompile("entry", EntrySchema)
-	agentSchema = MustCompile("agent", AgentSchema)
+// The schemas are compiled when a document is read: an entry or agent on a small share of a
+// core starts later by all that its packages do at their initialization.
+var (
+	entrySchema = LazySchema("entry", &EntrySchema)
+	agentSchema = LazySchema("agent", &AgentSchema)
 )
 
 // Problem is one mistake in a document.
@@ -76,6 +81,11 @@
 	return p
 }
 
+// LazySchema returns a function that compiles a schema which is part of the program, once.
+func LazySchema(name string, schema *[]byte) func() *jsonschema.Schema {
+	return sync.OnceValue(func() *jsonschema.Schema { return MustCompile(name, *schema) })
+}
+
 // MustCompile compiles a schema that is part of the program.
 func MustCompile(name string, schema []byte) *jsonschema.Schema {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -167,7 +167,7 @@
 // ParseEntry checks an entry's settings.
 func ParseEntry(data []byte) (*Entry, error) {
 	s := &Entry{Limits: DefaultEntryLimits(), Log: Log{Level: "info"}, Platform: Platform{Timeout: Duration(2 * time.Second)}}
-	err := Read(entrySchema, data, s, func() Problems {
+	err := Read(entrySchema(), data, s, func() Problems {
 		if s.PeerAddress == "" {
 			s.PeerAddress = s.PeerListen
 		}
@@ -188,7 +188,7 @@
 // ParseAgent checks an agent's settings.
 func ParseAgent(data []byte) (*Agent, error) {
 	s := DefaultAgent()
-	err := Read(agentSchema, data, &s, func() Problems {
+	err := Read(agentSchema(), data, &s, func() Problems {
 		if s.Address == "" {
 			s.Address = s.Listen
 		}
--- a/common/settings/settings_test.go
+++ b/common/settings/settings_test.go
@@ -57,7 +57,7 @@
 			var problems Problems
 			is.True(errors.As(err, &problems))
 			is.Equal(problems[0].Path, c.path)
-			is.Equal(CheckSchema(entrySchema, []byte(bad)) != nil, c.bySchema)
+			is.Equal(CheckSchema(entrySchema(), []byte(bad)) != nil, c.bySchema)
 		})
 	}
 }
