core/batch: losses of other workers ask for more crashes before a job fails

Ruled out: counting other jobs instead of workers (neighbours at the same worker count as other causes: then a crashing task with neighbours is blamed late).

Change: a start without an answer counts only if it was to be alone; a worker that vanishes without having said so counts against blaming, whatever ran there; each other loss within ten seconds asks for one crash more, four at most.

--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -178,6 +178,7 @@
 // tells the agent which runs it believes to be there.
 func (c *Core) workerTold(a *agent, w *runs.Worker) {
 	c.noteWorker(a, w)
+	c.noteVanished(&a.worker, w)
 	a.worker = *w
 	if a.greeted {
 		return
--- a/core/batch/crash.go
+++ b/core/batch/crash.go
@@ -9,28 +9,26 @@
 )
 
 // A task may crash each worker that starts it, and takes with it whatever runs there. It is
-// given up once two crashes are put down to it, more if workers were lost under several
-// other jobs lately, or if some were lost under it in whatever way. A crash is put down to
-// the runs that its agent names, unless workers are lost under many jobs at the same
-// moment: then it has a cause outside. A task that is suspected runs apart from other
-// suspects, then alone, so that one that merely ran beside the cause is not blamed again.
+// given up once two crashes are put down to it, more if other
+// workers were lost lately, or four workers have crashed while it ran there. A crash is put down to
+// the run that its agent names, unless many workers are lost at the same moment: then
+// it has a cause outside. A suspected task runs apart from other suspects, then alone,
+// so that one that merely ran beside the cause is not blamed again.
 //
 // The load it answers: a few jobs of a queue crash all that they touch. Without it each of
 // them goes from worker to worker until its caller leaves, and a durable one for ever.
 const (
-	// blamedLimit is the number of crashes put down to a task after which it is given up,
-	// blamedAmidst that number while workers are lost under other jobs, too: some are
-	// chance then.
-	blamedLimit  = 2
-	blamedAmidst = 3
+	// blamedLimit is the number of crashes put down to a task after which it is given up.
+	// Each other worker that was lost lately asks for one more: some are chance then.
+	blamedLimit = 2
 	// lostLimit is the number of workers that have crashed under a task after which it is
 	// given up whatever else: a crash need not show which run it came from.
 	lostLimit = 4
-	// sharedWithin is the time within which losses count as one event, and sharedJobs the
-	// number of other jobs that it must have met to have a cause outside.
-	sharedWithin = 500 * time.Millisecond
-	sharedJobs   = 3
-	// lostLately is how long losses under other jobs count against blaming one.
+	// sharedWithin is the time within which losses count as one event, and sharedWorkers the
+	// number of workers without the job that it must have met to have a cause outside.
+	sharedWithin  = 500 * time.Millisecond
+	sharedWorkers = 3
+	// lostLately is how long losses of other workers count against blaming a job.
 	lostLately = 10 * time.Second
 	// recentKept bounds the losses that are remembered for that.
 	recentKept = 256
@@ -47,15 +45,16 @@
 
 // crashes is what an entry knows of lost workers.
 type crashes struct {
-	// recent are the jobs under which workers were lost a moment ago.
+	// recent are the workers that were lost a moment ago, with the jobs that ran there;
+	// the job is empty where none of this entry did.
 	recent []lostUnder
 	// suspects are tasks that were blamed, the oldest first.
 	suspects ordered.Map[string, *suspect]
 }
 
 type lostUnder struct {
-	job string
-	at  time.Time
+	job, worker string
+	at          time.Time
 }
 
 // suspect is a blamed task with the time of the last word about it.
@@ -65,24 +64,37 @@
 }
 
 // add notes that a worker was lost under a job.
-func (c *crashes) add(now time.Time, job string) {
-	c.recent = append(c.recent, lostUnder{job, now})
+func (c *crashes) add(now time.Time, job, worker string) {
+	c.recent = append(c.recent, lostUnder{job, worker, now})
 	for len(c.recent) > recentKept || now.Sub(c.recent[0].at) > lostLately {
 		c.recent = c.recent[1:]
 	}
 }
 
-// others counts the other jobs under which workers were lost within a time.
+// others counts the workers that were lost within a time while nothing of a job ran there.
 func (c *crashes) others(now time.Time, job string, within time.Duration) int {
 	others := make(map[string]bool)
 	for _, l := range c.recent {
-		if l.job != job && now.Sub(l.at) <= within {
-			others[l.job] = true
+		if now.Sub(l.at) <= within {
+			others[l.worker] = true
+		}
+	}
+	for _, l := range c.recent {
+		if l.job == job {
+			delete(others, l.worker)
 		}
 	}
 	return len(others)
 }
 
+// noteVanished notes that a worker was lost, whatever ran there, unless it had said that it
+// leaves.
+func (c *Core) noteVanished(was, is *runs.Worker) {
+	if was.ID != "" && !was.Draining && was.Life() != is.Life() {
+		c.crashes.add(c.now, "", was.ID)
+	}
+}
+
 // workerLost counts a worker that has crashed under a task.
 func (c *Core) workerLost(t *task, worker string, end runs.End) {
 	t.lost++
@@ -90,8 +102,8 @@
 		t.crashed = make(map[uint32]bool)
 	}
 	t.crashed[end.Key.Run] = true
-	c.crashes.add(c.now, t.job.name)
-	if end.Suspect && c.crashes.others(c.now, t.job.name, sharedWithin) < sharedJobs {
+	c.crashes.add(c.now, t.job.name, t.worker)
+	if end.Suspect && c.crashes.others(c.now, t.job.name, sharedWithin) < sharedWorkers {
 		t.blamed++
 	}
 	c.noteLost(t, worker, end)
@@ -108,6 +120,7 @@
 		t.lapsed = make(map[uint32]time.Time)
 	}
 	t.lapsed[end.Key.Run] = c.now
+	c.crashes.add(c.now, t.job.name, t.worker)
 	c.noteLost(t, worker, end)
 }
 
@@ -137,7 +150,7 @@
 		Event: "worker lost", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Key: end.Key, Worker: worker,
 		Reason: end.Reason.String(), Lost: t.lost, Blamed: t.blamed,
 	})
-	if t.job.durable == nil && t.lost > 0 && c.crashes.others(c.now, t.job.name, sharedWithin) < sharedJobs {
+	if t.job.durable == nil && t.lost > 0 && c.crashes.others(c.now, t.job.name, sharedWithin) < sharedWorkers {
 		c.suspects(runs.Suspect{Task: t.name, Lost: t.lost, Blamed: t.blamed})
 	}
 }
@@ -151,11 +164,8 @@
 
 // crashing reports whether a task is taken to crash each worker that starts it.
 func (c *Core) crashing(t *task) bool {
-	blamed := blamedLimit
-	if c.crashes.others(c.now, t.job.name, lostLately) >= sharedJobs {
-		blamed = blamedAmidst
-	}
-	return t.blamed >= blamed || t.lost >= lostLimit
+	others := c.crashes.others(c.now, t.job.name, lostLately)
+	return t.blamed >= min(blamedLimit+others, lostLimit) || t.lost >= lostLimit
 }
 
 // awaitsWord reports whether a task has to wait until it is known of a silent worker
--- a/core/runner/crash.go
+++ b/core/runner/crash.go
@@ -19,8 +19,7 @@
 }
 
 // markSuspects marks the run to which the loss of the worker is put down, if that is a
-// crash: the last that has certainly begun. A start without an answer may have found the
-// worker gone.
+// crash: the last that has certainly begun.
 func (c *Core) markSuspects() {
 	if c.lostReason() != runs.Crashed {
 		return
@@ -36,12 +35,23 @@
 	}
 }
 
-// lostEnd is the end of a run that was lost with its worker.
+// lostEnd is the end of a run that was lost with its worker. A start without an answer may
+// have found the worker gone: that is no crash under it, unless it was to be alone there.
 func (c *Core) lostEnd(r *run, how runs.How, reason runs.Reason) runs.End {
-	return runs.End{Key: r.key, How: how, Reason: reason, Suspect: r.suspect && reason != runs.NoWorker}
+	end := runs.End{Key: r.key, How: how, Reason: reason}
+	if reason != runs.Crashed {
+		return end
+	}
+	began, alone := !r.confirmedAt.IsZero(), r.start.Suspicion == runs.Alone
+	if !began && !alone {
+		end.Reason = runs.Lapsed
+		return end
+	}
+	end.Suspect = r.suspect || alone
+	return end
 }
 
-// lapsed are ends by a lease that ran out while the worker was out of reach: whether it
+// lapsedEnd is an end by a lease that ran out while the worker was out of reach: whether it
 // has crashed shows when it is back.
 type lapsedEnd struct {
 	end   runs.End
@@ -51,7 +61,7 @@
 // rememberLapsed keeps the present runs for the time when the worker is back.
 func (c *Core) rememberLapsed() {
 	for r := range c.runs.Values() {
-		if r.phase != phaseWaiting && !r.orphan {
+		if r.phase != phaseWaiting && !r.orphan && !r.confirmedAt.IsZero() {
 			c.lapsedEnds = append(c.lapsedEnds, lapsedEnd{c.lostEnd(r, runs.Gone, runs.Crashed), r.owner})
 		}
 	}
