core/runner: a run that a former process of the agent had counts as silence, not as a crash

Cause: reading the diff: whatever was not known to a new process after any former incarnation of its worker, one that left in order among them, was told as crashed, which counts against a durable task. It is told as lapsed now, which only has it run apart. Tests of core/runner and core/batch pass; the path is rare and was not seen in a play.

--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -262,7 +262,7 @@
 	if !ok {
 		end = runs.End{Key: key, How: runs.Gone}
 		if len(c.former.order) > 0 {
-			end.Reason = runs.Crashed // a former process of this agent had it there
+			end.Reason = runs.Lapsed // it may have gone with a former incarnation
 		}
 	}
 	for h := range c.held.Values() {
