--- a/service/batch/config.go
+++ b/service/batch/config.go
@@ -18,7 +18,7 @@
 	failing := false
 	for ctx.Err() == nil {
 		call, done := e.waits.begin(ctx)
-		update, err := e.deps.Store.NextUpdate(call, storeWait(e.peers.count(), e.peers.exchanges()))
+		update, err := e.deps.Store.NextUpdate(call, e.storeWait())
 		ended := call.Err() != nil
 		done()
 		if ended {
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -154,7 +154,7 @@
 	case k.unconfirmed.Load():
 		wait = 0
 	case k.idle.Load():
-		wait = max(followShort, storeWait(k.entry.peers.count(), k.entry.peers.exchanges()))
+		wait = max(followShort, k.entry.storeWait())
 	}
 	return k.entry.deps.Store.JobChanges(ctx, after, wait)
 }
--- a/service/batch/waits.go
+++ b/service/batch/waits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -27,12 +28,20 @@
 	followShort = time.Second
 )
 
-// storeWait is how long a call may wait in a fleet of a size.
-func storeWait(entries, exchanges int) time.Duration {
+// storeWait is how long a call may wait in a fleet of a size. The part of it is drawn from
+// draw, which is from 0 up to 1: entries that have started at once would confirm what they
+// know at once, too, and nobody in between.
+func storeWait(entries, exchanges int, draw float64) time.Duration {
 	if exchanges == 0 {
 		return waitShort
 	}
-	return min(max(time.Duration(entries)*waitEach, waitShort), waitLong)
+	longest := min(time.Duration(entries)*waitEach, waitLong)
+	return max(time.Duration((1+draw)/2*float64(longest)), waitShort)
+}
+
+// storeWait is how long this entry's next call may wait.
+func (e *Entry) storeWait() time.Duration {
+	return storeWait(e.peers.count(), e.peers.exchanges(), rand.Float64())
 }
 
 // storeWaits ends waiting calls early that should not wait as long any more.
