service/batch: questions for unknown ends do not cancel the look that would answer them

After all processes were killed agents keep hundreds of ends and ask for each: no look was ever answered, no end noted, and each question cost a connection.

Change: a question has the next look not wait, ten times a second at most.

--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -70,9 +70,13 @@
 	// unconfirmed is true while jobs of this entry wait for a confirmation.
 	unconfirmed atomic.Bool
 	// idle is true while no durable job is known: looks at the changes wait longer then.
-	idle   atomic.Bool
-	looks  storeWaits
-	nextID atomic.Uint64
+	idle  atomic.Bool
+	looks storeWaits
+	// urgent is set while somebody needs a newer view: the next look does not wait.
+	// hurriedAt is when that was last asked for; the loop owns it.
+	urgent    atomic.Bool
+	hurriedAt time.Time
+	nextID    atomic.Uint64
 }
 
 func newKeeper(e *Entry, s ledger.Settings, writesPerSecond float64) *keeper {
@@ -151,7 +155,7 @@
 	}
 	wait := followShort
 	switch {
-	case k.unconfirmed.Load():
+	case k.urgent.Swap(false), k.unconfirmed.Load():
 		wait = 0
 	case k.idle.Load():
 		wait = max(followShort, k.entry.storeWait())
@@ -188,17 +192,32 @@
 	case void:
 		k.entry.core.Settle(now, u.Link, nil, keys)
 	case k.idle.Load():
-		k.looks.end() // the agent keeps the end until a look sent from now on shows no such job
+		k.hurry(now) // the agent keeps the end until a look sent from now on shows no such job
 	}
 }
 
+// hurryEvery is the shortest time between two looks that are made since somebody needs a
+// newer view. Agents ask again for each end that they keep; a look that each question ended
+// would never be answered.
+const hurryEvery = 100 * time.Millisecond
+
+// hurry has the store looked at now rather than when the present look has waited.
+func (k *keeper) hurry(now time.Time) {
+	if now.Sub(k.hurriedAt) < hurryEvery {
+		return
+	}
+	k.hurriedAt = now
+	k.urgent.Store(true)
+	k.looks.end()
+}
+
 // freshen has the known jobs be new enough to say that there is no such job, if the store
 // answers in time. Looks wait for long while no durable job is known.
 func (k *keeper) freshen(ctx context.Context) {
 	if k.isFresh() {
 		return
 	}
-	k.looks.end()
+	k.entry.post(func(_ *core.Core, now time.Time) { k.hurry(now) })
 	for deadline := time.Now().Add(freshWait); time.Now().Before(deadline) && !k.isFresh(); {
 		pause(ctx, freshPoll)
 	}
