Reservations: waiting tasks are bound to the first worker with room; admission by a forecast

Ruled out: idle workers.

Change: core/reserve and its use in core/runner and core/batch (tasks wait in their entry, two agents have reservations, the first with room holds and offers it), core/supply (forecast over all workers), core/admission (permitted waits by priority, floors, promises).

--- a/cmd/peridotpick/dispatch.go
+++ b/cmd/peridotpick/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"time"
 
@@ -10,7 +11,9 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"peridotpick.example/common/errkind"
 	"peridotpick.example/common/logs"
+	"peridotpick.example/core/admission"
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/ledger"
 	"peridotpick.example/platform/boot"
@@ -25,12 +28,19 @@
 // default, because taking one costs CPU time and whoever can read the metrics could take one.
 const profileFlag = "profile"
 
+// priorityFloorFlag sets what less urgent queues keep under overload.
+const priorityFloorFlag = "priority-floor"
+
 func dispatchCommand() *cli.Command {
 	return &cli.Command{
 		Name: "dispatch", Usage: "run an entry on the users' platform, until SIGTERM",
 		Description: "Reads the platform's settings file, whose path is in " + boot.PathVariable + ".",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: profileFlag, Usage: "serve CPU and heap profiles at the address of the metrics, under /debug/pprof/"},
+			&cli.FloatFlag{
+				Name: priorityFloorFlag, Value: admission.DefaultFloor,
+				Usage: "share of the served work of more urgent queues that a less urgent one keeps under overload, 0 to 1",
+			},
 		},
 		Action: runDispatch,
 	}
@@ -39,6 +49,10 @@
 // runDispatch runs an entry until ctx ends and, after that, the open requests of callers have ended
 // or the grace period is over. The metrics are served until then.
 func runDispatch(ctx context.Context, command *cli.Command) error {
+	floor := command.Float(priorityFloorFlag)
+	if floor < 0 || floor > 1 {
+		return errkind.NewField(errkind.InvalidRequest, "--"+priorityFloorFlag, fmt.Sprintf("%g: from 0 to 1", floor))
+	}
 	file, err := boot.Load()
 	if err != nil {
 		return err
@@ -46,7 +60,7 @@
 	sink := logs.New(os.Stdout, zerolog.InfoLevel)
 	defer func() { _ = sink.Close() }()
 	registry := metrics.NewRegistry()
-	e, err := batch.New(dispatchSettings(file), batch.Deps{
+	e, err := batch.New(dispatchSettings(file, floor), batch.Deps{
 		Logs: sink, Transport: transport.New(nil), Store: store.New(file.Platform.Address, sink.For(logs.Entry)), Metrics: registry,
 	})
 	if err != nil {
@@ -87,9 +101,11 @@
 	writeShare = 0.8
 )
 
-// dispatchSettings returns the settings of an entry from the platform's settings file.
-func dispatchSettings(file *boot.File) batch.Settings {
+// dispatchSettings returns the settings of an entry from the platform's settings file and the floor of
+// less urgent queues.
+func dispatchSettings(file *boot.File, priorityFloor float64) batch.Settings {
 	coreSettings := core.DefaultSettings()
+	coreSettings.PriorityFloor = priorityFloor
 	coreSettings.DataCentre = file.DataCentre
 	leaseTimes := file.Leases()
 	coreSettings.OwnerLease, coreSettings.WorkerLease = leaseTimes.Owner, leaseTimes.RunExpiry
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -18,8 +18,6 @@
 	load           runs.Load
 	loadAt         time.Time
 	lastReceivedAt time.Time
-	// messages is the number of messages received.
-	messages uint64
 	// clock is the newest reading of the agent's clock in nanoseconds, received at clockAt.
 	clock   int64
 	clockAt time.Time
@@ -126,6 +124,7 @@
 		return
 	}
 	c.agents.Delete(id)
+	c.forgetReservationsAt(id)
 	if a.worker.Agent == "" {
 		return
 	}
@@ -148,7 +147,6 @@
 		return
 	}
 	a.lastReceivedAt = now
-	a.messages++
 	if msg.Clock > a.clock {
 		a.clock = msg.Clock
 		a.clockAt = now
@@ -160,7 +158,7 @@
 		a.updateLoad(now, msg.Load)
 	}
 	for _, p := range msg.Progress {
-		c.updateProgress(a, p)
+		c.updateProgress(p)
 	}
 	for i := range msg.Ends {
 		c.receiveEnd(a, msg.Ends[i])
@@ -168,6 +166,10 @@
 	for _, end := range msg.UnownedEnds {
 		c.receiveEnd(a, end)
 	}
+	c.receiveDropped(msg.Dropped)
+	for _, id := range msg.Offers {
+		c.receiveOffer(a, id)
+	}
 	if msg.Load != nil || msg.Worker != nil {
 		c.placeWaiting()
 	}
@@ -188,6 +190,9 @@
 	c.logWorkerChange(a, w)
 	c.addVanishedWorker(&a.worker, w)
 	a.worker = *w
+	if w.ID == "" || w.Draining || w.Released {
+		c.forgetReservationsAt(a.link)
+	}
 	if a.registered {
 		return
 	}
@@ -212,6 +217,7 @@
 	for id, other := range c.agents.All() {
 		if other != a && other.registered && other.worker.Agent == a.worker.Agent {
 			c.agents.Delete(id)
+			c.forgetReservationsAt(id)
 			c.out.CloseLinks = append(c.out.CloseLinks, id)
 		}
 	}
@@ -332,7 +338,7 @@
 }
 
 // updateProgress handles the progress of a run, as reported by its agent.
-func (c *Core) updateProgress(a *agent, p runs.Progress) {
+func (c *Core) updateProgress(p runs.Progress) {
 	t := c.byTask[p.Key.Task]
 	if t == nil || t.state != taskPlaced || t.run != p.Key.Run {
 		return
@@ -341,10 +347,6 @@
 		t.checkpoint = p.Checkpoint
 		return
 	}
-	if p.Waiting {
-		t.waitingReport = a.messages
-		return
-	}
 	t.slow = true
 	t.remaining = p.Remaining
 }
--- a/core/batch/answer.go
+++ b/core/batch/answer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/admission"
 )
 
 // giveUp ends a job without success and answers its requests. The answer to a job that is out of
@@ -12,6 +13,10 @@
 	if j.ended {
 		return
 	}
+	c.resolvePromise(j, admission.Broken)
+	if kind == errkind.Overloaded || kind == outOfTime {
+		c.gate.Lost(c.now, gateQueue(j.queue), j.openWork())
+	}
 	c.failDurable(j, kind)
 	c.logDecision(Decision{Event: "give up", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: reason, Age: c.now.Sub(j.arrived), Deferred: j.wasDeferred})
 	if kind != outOfTime || j.begun || !j.hasPlacedRun() {
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -32,6 +32,7 @@
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/common/ordered"
 	"peridotpick.example/common/room"
+	"peridotpick.example/core/admission"
 	"peridotpick.example/core/catalog"
 	"peridotpick.example/core/drains"
 	"peridotpick.example/core/policy"
@@ -68,6 +69,9 @@
 	CrossDataCentreCost time.Duration
 	// Overhead is the part of the objective that messages and the worker's start-up of a run take.
 	Overhead time.Duration
+	// PriorityFloor is the share of the served work of more urgent queues that a less urgent queue
+	// keeps while there are too few resources, from 0 to 1.
+	PriorityFloor float64
 	// Policy selects the mechanisms in force. Production uses all of them.
 	Policy policy.Policy
 }
@@ -160,6 +164,12 @@
 	// expected time to the end and Wait the part of it before the start. Slack is how long the job
 	// could wait.
 	Age, Expected, Wait, Slack time.Duration
+	// WaitBehindAll is the expected wait behind all waiting work, by which a queue gives way.
+	WaitBehindAll time.Duration
+	// Reservations is the number of reservations that a job has, Reservation the one whose offered
+	// resources a start takes.
+	Reservations int
+	Reservation  uint64
 	// LostWorkers is the number of workers lost while they ran the task, BlamedCrashes the number
 	// of crashes attributed to it.
 	LostWorkers, BlamedCrashes int
@@ -179,13 +189,16 @@
 	// byTask maps the names of tasks to the tasks of all jobs here.
 	byTask   map[string]*task
 	runTimes runTimeEstimator
-	waits    waitEstimator
-	losses   lossTracker
+	gate     *admission.Gate
 	crashes  crashHistory
 	// deferred are jobs that wait for spare capacity; deferredScannedAt is the time of their last
 	// scan.
 	deferred          ordered.Map[string, *job]
 	deferredScannedAt time.Time
+	// reservations are those that agents are expected to have, by ID; newestReservation is the ID
+	// given last.
+	reservations      ordered.Map[uint64, *reservation]
+	newestReservation uint64
 	// startedWork is the work started for each service.
 	startedWork map[string]*startedWork
 	rand        *rand.Rand
@@ -226,7 +239,7 @@
 func New(s Settings) *Core {
 	return &Core{
 		settings:  s,
-		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), runTimes: newRunTimeEstimator(), losses: newLossTracker(), rand: rand.New(rand.NewPCG(s.Seed, 0)), medianSlowness: make(map[string]float64),
+		byRequest: make(map[RequestID]*job), byTask: make(map[string]*task), runTimes: newRunTimeEstimator(), gate: admission.NewGate(s.PriorityFloor), rand: rand.New(rand.NewPCG(s.Seed, 0)), medianSlowness: make(map[string]float64),
 		startedWork: make(map[string]*startedWork),
 	}
 }
@@ -281,6 +294,7 @@
 	}
 	c.forgetEnded()
 	c.placeWaiting()
+	c.placeReserved()
 	c.moveRuns()
 }
 
--- a/core/batch/crash.go
+++ b/core/batch/crash.go
@@ -151,14 +151,15 @@
 	}
 }
 
-// reportLostWorker logs that a worker was lost while it ran a task, and adds the task of an awaited
-// job to the suspects unless the crash has a shared cause.
+// reportLostWorker logs that a worker was lost while it ran a task, and adds the task to the suspects
+// unless the crash has a shared cause. Other entries need to know suspects even if their job is
+// durable: an entry that is lost may not have stored its last crashes.
 func (c *Core) reportLostWorker(t *task, worker string, end runs.End) {
 	c.logDecision(Decision{
 		Event: "worker lost", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Key: end.Key, Worker: worker,
 		Reason: end.Reason.String(), LostWorkers: t.lostWorkers, BlamedCrashes: t.blamedCrashes,
 	})
-	if t.job.durable == nil && t.lostWorkers > 0 && c.crashes.countOtherLosses(c.now, t.job.name, sharedCrashWindow) < sharedCrashWorkers {
+	if t.lostWorkers > 0 && c.crashes.countOtherLosses(c.now, t.job.name, sharedCrashWindow) < sharedCrashWorkers {
 		c.addSuspect(runs.Suspect{Task: t.name, LostWorkers: t.lostWorkers, BlamedCrashes: t.blamedCrashes})
 	}
 }
@@ -239,7 +240,7 @@
 		if !c.addSuspect(s) {
 			continue
 		}
-		if t := c.byTask[s.Task]; t != nil && t.job.durable == nil {
+		if t := c.byTask[s.Task]; t != nil {
 			t.mergeSuspect(s)
 			c.giveUpIfOverCrashLimit(t)
 		}
--- a/core/batch/crash_test.go
+++ b/core/batch/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/wire/runs"
@@ -191,3 +192,15 @@
 	h.receiveReport(after(9), 0, func(m *runs.ToEntry) { m.Worker.ID = "" })
 	h.is.Equal(h.crashes.countOtherLosses(after(10), "j", recentLossWindow), 0)
 }
+
+// TestCrashesOfADurableTaskAreKnownAfterATakeover: the previous owner was lost before it had stored
+// them.
+func TestCrashesOfADurableTaskAreKnownAfterATakeover(t *testing.T) {
+	h := newHarness(t, 4)
+	task := jobName(1) + ".0.0.0"
+	h.MergeSuspects(after(1), []runs.Suspect{{Task: task, LostWorkers: 3, BlamedCrashes: 1}})
+	h.ConfirmOwnership(after(5000))
+	h.RunDurable(after(2), &DurableJob{Job: jobName(1), Queue: queue, Steps: []Step{{Count: 1, Need: need, Estimate: 100 * time.Millisecond}}})
+	h.is.Equal(h.byTask[task].lostWorkers, 3)
+	h.is.Equal(h.byTask[task].isolation(), runs.IsolationExclusive)
+}
--- a/core/batch/defaults.go
+++ b/core/batch/defaults.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"time"
+
+	"peridotpick.example/core/admission"
+)
 
 // DefaultSettings returns the settings that do not depend on the deployment.
 func DefaultSettings() Settings {
@@ -15,6 +19,7 @@
 		// needless traffic between data centres.
 		CrossDataCentreCost: 4 * time.Millisecond,
 		// The round trips to the caller and to the worker.
-		Overhead: 10 * time.Millisecond,
+		Overhead:      10 * time.Millisecond,
+		PriorityFloor: admission.DefaultFloor,
 	}
 }
--- a/core/batch/defer.go
+++ b/core/batch/defer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/admission"
 	"peridotpick.example/core/policy"
 )
 
@@ -35,7 +36,10 @@
 	if !c.settings.Policy.Enabled(policy.Deferring) || c.usefulSlack(j) <= 0 {
 		return false
 	}
-	return c.isStartingUp(j.queue.Service) || float64(c.deferredWait(j)) < maxDeferredWaitShare*float64(c.usefulSlack(j))
+	if c.isStartingUp(j.queue.Service) {
+		return true
+	}
+	return c.gate.MayPromise(c.now, gateQueue(j.queue)) && float64(c.deferredWait(j)) < maxDeferredWaitShare*float64(c.usefulSlack(j))
 }
 
 // maxDeferredWaitShare is the share of a job's useful slack within which it must be expected to
@@ -65,9 +69,12 @@
 
 // deferJob adds a job to the deferred ones.
 func (c *Core) deferJob(j *job, p plan, reason string) {
-	c.losses.forQueue(c.now, j.queue).deferred++
+	if !j.promised {
+		j.promised = true
+		c.gate.Promised(c.now, gateQueue(j.queue))
+	}
 	c.logDecision(Decision{
-		Event: "defer", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: reason, Wait: p.delay, Slack: p.slack,
+		Event: "defer", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: reason, Wait: p.forecast.Wait, WaitBehindAll: p.forecast.WaitBehindAll, Slack: p.slack,
 		Expected: c.deferredWait(j), Age: p.age,
 	})
 	j.deferred, j.wasDeferred = true, true
@@ -75,6 +82,14 @@
 	c.placeDeferred()
 }
 
+// resolvePromise records the outcome of a deferred job.
+func (c *Core) resolvePromise(j *job, o admission.Outcome) {
+	if j.promised {
+		j.promised = false
+		c.gate.Resolved(c.now, gateQueue(j.queue), o)
+	}
+}
+
 // deferredWait returns the expected wait of a job behind the deferred jobs that start before it.
 func (c *Core) deferredWait(j *job) time.Duration {
 	workAhead := 0.0
@@ -164,7 +179,6 @@
 		work := j.openWork()
 		if slack[j] <= 0 || c.cannotStartInTime(j, workAhead+work, slack[j]) {
 			c.stopDeferring(j)
-			c.losses.forQueue(c.now, j.queue).lost++
 			c.giveUp(j, errkind.Overloaded, "no room while of use")
 			continue
 		}
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -108,6 +108,7 @@
 	for i := range d.Progress {
 		j.restoreTask(now, &d.Progress[i])
 	}
+	c.applySuspects(j)
 	c.jobs.Put(j.name, j)
 	for i := range j.steps {
 		for _, t := range j.steps[i].tasks {
--- a/core/batch/ends.go
+++ b/core/batch/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/admission"
 	"peridotpick.example/wire/runs"
 )
 
@@ -28,7 +29,6 @@
 	}
 	t.stopping, t.moving = false, false
 	t.slow = false
-	t.waitingReport = 0
 	if end.Outcome == runs.OutcomeDone {
 		c.completeTask(t, end)
 	} else {
@@ -52,10 +52,10 @@
 	t.step.openTasks--
 	t.job.openTasks--
 	if end.Ran > 0 {
-		c.waits.observe(t.expectedWait, max(c.now.Sub(t.sentAt)-end.Ran-c.settings.Overhead/2, 0))
 		c.runTimes.observe(t.job.queue.Name, t.step.Estimate, end.Ran)
 	}
 	if t.job.openTasks == 0 && !t.job.ended {
+		c.resolvePromise(t.job, admission.Kept)
 		c.logDecision(Decision{Event: "done", Job: t.job.name, Queue: t.job.queue.Name, Version: t.job.version, Age: c.now.Sub(t.job.arrived), Expected: t.job.objective, Deferred: t.job.wasDeferred})
 		c.answerRequests(t.job, errkind.OK)
 		t.job.ended = true
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/admission"
 	"peridotpick.example/core/catalog"
 	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
@@ -34,8 +35,9 @@
 	// deferred is set while the job waits for spare capacity. pastObjective is set if it was
 	// started there too late for its objective.
 	deferred, pastObjective bool
-	// wasDeferred is set once the job was deferred and stays set.
-	wasDeferred bool
+	// wasDeferred is set once the job was deferred and stays set. promised is set while its outcome
+	// is not known.
+	wasDeferred, promised bool
 	// durable is nil for an awaited job.
 	durable *durable
 }
@@ -47,6 +49,8 @@
 	estimate  time.Duration
 	tasks     []*task
 	openTasks int
+	// reservations are those for the waiting tasks.
+	reservations []*reservation
 }
 
 // task is one task of a job.
@@ -71,10 +75,6 @@
 	slow bool
 	// remaining is the last reported time to the end of a slow run.
 	remaining time.Duration
-	// waitingReport is the number of the agent's message that last reported the run as waiting.
-	waitingReport uint64
-	// withdrawnAt is when the run was last asked to be withdrawn from the agent's queue.
-	withdrawnAt time.Time
 	// stopping is set while a stop of the run is pending; moving is set in addition if the task is
 	// to be started elsewhere after it.
 	stopping, moving bool
@@ -143,11 +143,11 @@
 	}
 	plan, refused := c.admit(j)
 	deferred := refused != nil && refused.deferrable && c.canDefer(j)
-	c.losses.forQueue(c.now, j.queue).offered++
+	c.gate.Offered(c.now, gateQueue(j.queue), j.openWork(), plan.slack)
 	if refused != nil && !deferred {
-		c.losses.forQueue(c.now, j.queue).lost++
+		c.gate.Lost(c.now, gateQueue(j.queue), j.openWork())
 		c.refuse(r.ID, *refused)
-		c.logDecision(Decision{Event: "refuse", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: refused.reason, Wait: plan.delay, Slack: plan.slack, Expected: plan.finish, Age: plan.age})
+		c.logDecision(Decision{Event: "refuse", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: refused.reason, Wait: plan.forecast.Wait, WaitBehindAll: plan.forecast.WaitBehindAll, Slack: plan.slack, Expected: plan.finish, Age: plan.age})
 		return
 	}
 	c.jobs.Put(j.name, j)
@@ -161,7 +161,7 @@
 		c.deferJob(j, plan, refused.reason)
 		return
 	}
-	c.logDecision(Decision{Event: "admit", Job: j.name, Queue: j.queue.Name, Version: j.version, Wait: plan.delay, Slack: plan.slack, Expected: plan.finish, Age: plan.age})
+	c.logDecision(Decision{Event: "admit", Job: j.name, Queue: j.queue.Name, Version: j.version, Wait: plan.forecast.Wait, WaitBehindAll: plan.forecast.WaitBehindAll, Slack: plan.slack, Expected: plan.finish, Age: plan.age})
 	c.startedWorkOf(j.queue.Service).immediate.add(c.now, j.openWork())
 	c.startPlan(plan)
 }
@@ -282,6 +282,8 @@
 func (c *Core) stopJob(j *job) {
 	j.ended = true
 	c.stopDeferring(j)
+	c.resolvePromise(j, admission.Withdrawn)
+	c.releaseReservations(j)
 	for i := range j.steps {
 		for _, t := range j.steps[i].tasks {
 			if t.state == taskPlaced {
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotpick.example/common/room"
+	"peridotpick.example/core/admission"
 	"peridotpick.example/core/policy"
 	"peridotpick.example/wire/runs"
 )
@@ -17,6 +18,8 @@
 	delay, finish time.Duration
 	// age is the age of the oldest load report that the plan is based on.
 	age time.Duration
+	// forecast is when the job is expected to start; set on admission.
+	forecast admission.Forecast
 	// slack is how long the job's tasks may wait and still meet its objective.
 	slack time.Duration
 	// missing is the number of tasks for which no worker was found.
@@ -31,6 +34,9 @@
 	agent *agent
 	// wait is the expected time to the start, run the expected run time.
 	wait, run time.Duration
+	// reservation is the reservation whose resources the agent holds for the task; 0 if there is
+	// none.
+	reservation uint64
 }
 
 // plannedLoad is what the current plan has assigned to an agent so far.
@@ -230,7 +236,7 @@
 // cost returns the value by which workers are compared for a task, lower being better: the expected
 // time to the end plus penalties. Workers on which the task has failed come last.
 func (c *Core) cost(a *agent, t *task, wait, run time.Duration) time.Duration {
-	cost := c.correctedWait(wait) + run + c.colocationCost(a, t)
+	cost := wait + run + c.colocationCost(a, t)
 	if a.worker.DataCentre != c.settings.DataCentre {
 		cost += c.settings.CrossDataCentreCost
 	}
@@ -250,10 +256,20 @@
 // show in the newest load report.
 const earlierRefusalCost = 50 * time.Millisecond
 
-// startPlan sends the starts of a plan.
+// startPlan sends the starts of a plan, and reservations for the tasks that have to wait.
 func (c *Core) startPlan(p plan) {
+	reserved := 0
 	for _, pl := range p.placements {
+		if c.canReserve(pl) {
+			reserved += c.reserve(pl)
+			continue
+		}
 		c.startTask(pl)
+		c.releaseSurplus(pl.task.step)
+	}
+	if reserved > 0 {
+		j := p.placements[0].task.job
+		c.logDecision(Decision{Event: "reserve", Job: j.name, Queue: j.queue.Name, Version: j.version, Reservations: reserved, Wait: p.delay, Slack: p.slack, Age: p.age})
 	}
 }
 
@@ -274,19 +290,21 @@
 	t.expectedWait = pl.wait
 	a.startsSent++
 	a.runCount++
-	a.inFlight = append(a.inFlight, inFlightStart{seq: a.startsSent, need: t.step.Need})
+	if pl.reservation == 0 {
+		a.inFlight = append(a.inFlight, inFlightStart{seq: a.startsSent, need: t.step.Need})
+	}
 	if c.isUnhealthy(a) {
 		a.probedAt = c.now
 	}
 	a.out.Starts = append(a.out.Starts, runs.Start{
 		Key: t.key(), Spec: j.spec, Need: t.step.Need, Estimate: t.step.estimate,
 		Slack: j.slackLeft(c.now), StartTimeout: c.startTimeout(j), Checkpoint: t.checkpoint, Durable: j.durable != nil,
-		Isolation: t.isolation(),
+		Isolation: t.isolation(), Reservation: pl.reservation,
 	})
 	c.markDirty(a)
 	c.logDecision(Decision{
 		Event: "start", Job: j.name, Queue: j.queue.Name, Version: j.version, Key: t.key(), Worker: a.worker.ID,
-		Age: c.now.Sub(a.loadAt), Expected: t.expected, Wait: pl.wait, Slack: j.slackLeft(c.now),
+		Age: c.now.Sub(a.loadAt), Expected: t.expected, Wait: pl.wait, Slack: j.slackLeft(c.now), Reservation: pl.reservation,
 	})
 }
 
@@ -341,7 +359,7 @@
 func (c *Core) placeWaiting() {
 	var waiting []*job
 	for j := range c.jobs.Values() {
-		if !j.ended && !j.deferred && j.durable == nil && j.hasWaitingTask() {
+		if !j.ended && !j.deferred && j.durable == nil && j.hasWaitingTask() && !j.hasReservations() {
 			waiting = append(waiting, j)
 		}
 	}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -16,10 +16,9 @@
 
 // Mechanisms of entries.
 const (
-	// Yield refuses jobs of queues with low priority while more urgent jobs are lost.
+	// Yield refuses jobs of queues with low priority while so much waits that more urgent ones would
+	// be refused.
 	Yield Mechanism = "yield"
-	// LearnedWaits corrects predicted waiting times by measured ones.
-	LearnedWaits Mechanism = "learned-waits"
 	// LearnedRunTimes corrects declared run times by measured ones.
 	LearnedRunTimes Mechanism = "learned-run-times"
 	// Spread breaks ties among equal workers at random.
@@ -31,13 +30,14 @@
 	Pace Mechanism = "pace"
 	// Probing gives workers that fail or are very slow no work except single probes.
 	Probing Mechanism = "probing"
-	// Withdrawing takes waiting runs back from their worker if another one has free capacity.
-	Withdrawing Mechanism = "withdrawing"
 	// Restarting starts runs of slow workers again on another one.
 	Restarting Mechanism = "restarting"
 	// Deferring keeps jobs that would end late, to run them in capacity that stays free, rather
 	// than refusing them.
 	Deferring Mechanism = "deferring"
+	// Reserving lets tasks wait in their entry, with reservations at several agents, rather than in
+	// the queue of one agent.
+	Reserving Mechanism = "reserving"
 	// RefusedBefore has a task avoid workers that refused it.
 	RefusedBefore Mechanism = "refused-before"
 )
@@ -55,7 +55,7 @@
 // All returns the mechanisms in a fixed order.
 func All() []Mechanism {
 	return []Mechanism{
-		Yield, LearnedWaits, LearnedRunTimes, Spread, SlackBands, Pace, Probing, Withdrawing, Restarting, RefusedBefore, Deferring,
+		Yield, LearnedRunTimes, Spread, SlackBands, Pace, Probing, Restarting, RefusedBefore, Deferring, Reserving,
 		LeastSlack, Passing, Progress,
 	}
 }
--- a/core/runner/capacity.go
+++ b/core/runner/capacity.go
@@ -23,3 +23,19 @@
 		c.terminate(r, runs.ReasonNoCapacity)
 	}
 }
+
+// checkSuspension handles that the process was suspended for longer than the worker's lease. Its
+// worker may have announced another capacity meanwhile, so that nothing starts before it announces
+// itself again. No run is lost by that: the leases of all have expired.
+func (c *Core) checkSuspension() {
+	gap := c.now.Sub(c.tickedAt)
+	suspended := !c.tickedAt.IsZero() && gap > c.settings.WorkerLease
+	c.tickedAt = c.now
+	if !suspended || !c.worker.known || c.worker.unannounced {
+		return
+	}
+	c.worker.unannounced = true
+	c.refuseWaiting(runs.ReasonNoWorker)
+	c.sendWorkerToAll()
+	c.out.Decisions = append(c.out.Decisions, Decision{Event: "suspended", Age: gap, Worker: c.worker.info.Incarnation()})
+}
--- a/core/runner/capacity_test.go
+++ b/core/runner/capacity_test.go
@@ -122,3 +122,21 @@
 	}
 	return list
 }
+
+// TestCapacityIsUnknownAfterASuspension: the worker may have shrunk while its agent was suspended.
+// Nothing starts before it has announced itself again.
+func TestCapacityIsUnknownAfterASuspension(t *testing.T) {
+	h := newHarness(t)
+	h.Tick(start)
+	resumed := after(2000)
+	h.Tick(resumed)
+	h.heartbeat(resumed)
+	got := ends(h.send(resumed, "t1"))
+	h.is.Equal(got[0].Reason, runs.ReasonNoWorker)
+	h.is.Equal(lastWorkerSent(h.Flush(resumed), 1), nil) // was sent with the refusal
+	shrunk := worker("w1")
+	shrunk.Capacity.CPU = 1000
+	h.WorkerAnnounced(after(2100), shrunk, 7100)
+	h.is.Equal(lastWorkerSent(h.Flush(after(2100)), 1).Capacity.CPU, 1000)
+	h.is.Equal(len(h.send(after(2101), "t2", "t3").Orders), 1)
+}
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -34,6 +34,7 @@
 	"peridotpick.example/common/room"
 	"peridotpick.example/core/drains"
 	"peridotpick.example/core/policy"
+	"peridotpick.example/core/reserve"
 	"peridotpick.example/wire/runs"
 )
 
@@ -132,6 +133,8 @@
 	ownerLeases map[uint64]time.Time
 	runs        ordered.Map[runs.Key, *run]
 	queue       runQueue
+	// reservations are the requests of entries for resources that are occupied at present.
+	reservations reserve.Book
 	// pendingOwned are the lists of owned runs that entries sent before the worker's runs were
 	// known.
 	pendingOwned ordered.Map[LinkID, []runs.OwnedRun]
@@ -148,9 +151,9 @@
 	drains      drains.State
 	// emptyReported is set once the drained worker has been reported as empty.
 	emptyReported bool
-	// startedAt is the time of the first tick.
-	startedAt   time.Time
-	loadChanged bool
+	// startedAt is the time of the first tick, tickedAt that of the last one.
+	startedAt, tickedAt time.Time
+	loadChanged         bool
 	// sharedLoad is the part of the load that is equal for all links, computed once a flush; nil
 	// until a link needs it.
 	sharedLoad *runs.Load
@@ -260,6 +263,7 @@
 	c.now = now
 	c.links.Delete(id)
 	c.pendingOwned.Delete(id)
+	c.reservations.DropLink(uint64(id))
 }
 
 // Receive handles a message from an entry.
@@ -283,10 +287,9 @@
 		l.startsReceived++
 		c.admit(l, &msg.Starts[i], msg.Clock)
 	}
-	for _, key := range msg.WithdrawWaiting {
-		if r := c.runs.Get(key); r != nil && r.phase == phaseWaiting && r.owner.Incarnation == l.entry.Incarnation {
-			c.terminate(r, runs.ReasonStopRequested)
-		}
+	c.releaseReservations(l, msg.Released)
+	for i := range msg.Reserve {
+		c.reserve(l, &msg.Reserve[i], msg.Clock)
 	}
 	for _, key := range msg.Stops {
 		c.handleStopRequest(l, key, false)
@@ -318,11 +321,13 @@
 	if c.startedAt.IsZero() {
 		c.startedAt = now
 	}
+	c.checkSuspension()
 	c.expireOwners()
 	c.expireLeaving()
 	c.expireWorkerLease()
 	c.expireInFlight()
 	c.expireWaiting()
+	c.expireReservations()
 	c.stopOrphans()
 	c.retryStops()
 	c.limitHeldEnds()
@@ -397,10 +402,10 @@
 	return n
 }
 
-// freeCapacity returns the capacity that the runs at the worker leave. It is zero while there are
-// orphans.
+// freeCapacity returns the capacity that the runs at the worker and the offered reservations leave.
+// It is zero while there are orphans.
 func (c *Core) freeCapacity() room.Resources {
-	left := c.worker.info.Capacity
+	left := c.worker.info.Capacity.Sub(c.reservations.Held())
 	for r := range c.runs.Values() {
 		switch {
 		case r.orphan:
--- a/core/runner/core_test.go
+++ b/core/runner/core_test.go
@@ -330,7 +330,7 @@
 	is.True(c.WorkerAnnounced(after(1), worker("w2"), 5))
 }
 
-// TestRunDoesNotStartWhileItsEntryHasNoLink: the entry could not withdraw it. Runs of other
+// TestRunDoesNotStartWhileItsEntryHasNoLink: the entry could not stop it. Runs of other
 // entries start.
 func TestRunDoesNotStartWhileItsEntryHasNoLink(t *testing.T) {
 	h := newHarness(t)
--- a/core/runner/load.go
+++ b/core/runner/load.go
@@ -130,12 +130,16 @@
 	return &load
 }
 
-// waitingCPU returns the processor capacity that waiting runs need, by band of slack.
+// waitingCPU returns the processor capacity that waiting runs and reservations need, by band of
+// slack. A reservation counts in part, as other agents have reservations for the same run.
 func (c *Core) waitingCPU() []int {
-	if len(c.queue) == 0 {
+	if len(c.queue) == 0 && c.reservations.Len() == 0 {
 		return nil
 	}
 	bands := make([]int, runs.SlackBands)
+	for _, r := range c.reservations.Waiting() {
+		bands[runs.SlackBand(r.StartBy.Sub(c.now))] += r.Need.CPU / r.Copies
+	}
 	for _, r := range c.queue {
 		bands[runs.SlackBand(r.startBy.Sub(c.now))] += r.need.CPU
 	}
@@ -154,7 +158,7 @@
 	return list[:min(len(list), maxExpectedEnds)]
 }
 
-// progress reports an entry's runs that wait or that take much longer than estimated, and new
+// progress reports an entry's runs that take much longer than estimated, and new
 // checkpoints of its durable runs.
 func (c *Core) progress(incarnation uint64) []runs.Progress {
 	var list []runs.Progress
@@ -162,10 +166,6 @@
 		if r.owner.Incarnation != incarnation || r.orphan {
 			continue
 		}
-		if r.phase == phaseWaiting {
-			list = append(list, runs.Progress{Key: r.key, Waiting: true})
-			continue
-		}
 		if r.phase == phaseRunning && c.expectedRunTime(r) > time.Duration(float64(r.start.Estimate)*c.settings.ProgressReportFactor) {
 			list = append(list, runs.Progress{Key: r.key, Remaining: c.expectedRemaining(r)})
 		}
--- a/core/runner/release.go
+++ b/core/runner/release.go
@@ -22,6 +22,7 @@
 		return
 	}
 	l.releasedAt = now
+	c.reportDropped(c.reservations.DropLink(uint64(id)))
 	c.loadChanged = true // fewer entries share the worker
 	c.sendWorker(l)
 }
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -46,6 +46,8 @@
 	// checkpoint is the newest that the worker lists, reportedCheckpoint the one sent to the
 	// owner.
 	checkpoint, reportedCheckpoint string
+	// resourcesHeld is set if resources were held for the run when it arrived.
+	resourcesHeld bool
 	// startBy is when it should start in order to end in time; it must not start after
 	// latestStart.
 	startBy, latestStart time.Time
@@ -65,11 +67,20 @@
 	endDeadline time.Time
 }
 
-// runQueue holds the runs that wait for free capacity, the most urgent first.
+// runQueue holds the runs that wait for free capacity, the most urgent first. Runs whose resources
+// were held for them come before all others.
 type runQueue []*run
 
+// queuedAs returns the time by which waiting runs are ordered.
+func (r *run) queuedAs() time.Time {
+	if r.resourcesHeld {
+		return time.Time{}
+	}
+	return r.startBy
+}
+
 func (q *runQueue) add(r *run) {
-	at := sort.Search(len(*q), func(i int) bool { return (*q)[i].startBy.After(r.startBy) })
+	at := sort.Search(len(*q), func(i int) bool { return (*q)[i].queuedAs().After(r.queuedAs()) })
 	*q = append(*q, nil)
 	copy((*q)[at+1:], (*q)[at:])
 	(*q)[at] = r
@@ -105,6 +116,7 @@
 		return
 	}
 	c.runs.Put(r.key, r)
+	r.resourcesHeld = s.Reservation != 0 && c.reservations.Take(l.reservationKey(s.Reservation))
 	if !c.settings.Policy.Enabled(policy.LeastSlack) {
 		c.queue = append(c.queue, r)
 		return
@@ -131,14 +143,15 @@
 	return runs.ReasonNone
 }
 
-// startWaiting orders the start of waiting runs that fit, the most urgent first. A smaller run
-// may start before one that does not fit, so that no capacity stays unused.
+// startWaiting orders the start of waiting runs that fit and offers resources to reservations that
+// fit, the most urgent first. A smaller run may start before one that does not fit, so that no
+// capacity stays unused.
 //
-// A run whose entry has no link does not start, since the entry could not withdraw it. The entry
+// A run whose entry has no link does not start, since the entry could not stop it. The entry
 // may be gone, or its caller may have turned to another entry while the link was broken: the run
 // would be wasted, or run beside the same task of the other entry.
 func (c *Core) startWaiting() {
-	if len(c.queue) == 0 || !c.worker.synced || c.isUnavailable() || c.isDrained() || c.mayHaveRestarted() {
+	if len(c.queue) == 0 && len(c.reservations.Waiting()) == 0 || !c.worker.synced || c.isUnavailable() || c.isDrained() || c.mayHaveRestarted() {
 		return
 	}
 	lease := c.leaseToRequest()
@@ -153,6 +166,9 @@
 			waiting = append(waiting, r)
 			continue
 		}
+		if !r.resourcesHeld {
+			left = c.offerFitting(left, r.startBy)
+		}
 		if !left.Fits(r.need) {
 			waiting = append(waiting, r)
 			if !c.settings.Policy.Enabled(policy.Passing) {
@@ -172,6 +188,7 @@
 		c.orderStart(r, lease)
 	}
 	c.queue = waiting
+	c.offerFitting(left, time.Time{})
 }
 
 // hasLink reports whether a link to an entry's incarnation is open.
@@ -206,8 +223,9 @@
 	}
 }
 
-// refuseWaiting refuses all waiting runs.
+// refuseWaiting refuses all waiting runs and drops all reservations.
 func (c *Core) refuseWaiting(reason runs.Reason) {
+	c.dropReservations()
 	for _, r := range append(runQueue(nil), c.queue...) {
 		c.terminate(r, reason)
 	}
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -179,6 +179,7 @@
 // finishAll finishes all runs, which are no longer at the worker. A start that is in flight may
 // still reach the next incarnation, so that its run stays.
 func (c *Core) finishAll(reason runs.Reason) {
+	c.dropReservations()
 	for r := range c.runs.Values() {
 		if r.phase == phaseWaiting {
 			c.queue.remove(r)
@@ -280,6 +281,7 @@
 	info := c.worker.info
 	info.Draining = info.Draining || c.draining
 	info.Released, info.OnDemand = l.isReleased(), l.onDemand
+	info.TakesReservations = true
 	if !c.worker.synced || c.isUnavailable() {
 		info.ID = ""
 	}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -328,6 +329,13 @@
 	addDuration("expected", decision.Expected)
 	addDuration("wait", decision.Wait)
 	addDuration("slack", decision.Slack)
+	addDuration("wait_behind_all", decision.WaitBehindAll)
+	if decision.Reservations > 0 {
+		line.Int("reservations", decision.Reservations)
+	}
+	if decision.Reservation > 0 {
+		line.Uint64("reservation", decision.Reservation)
+	}
 	if decision.Deferred {
 		line.Bool("deferred", true)
 	}
@@ -364,6 +372,10 @@
 // updateGauges updates the metrics of the current state.
 func (e *Entry) updateGauges() {
 	telemetry.SetGauge("jobs", e.deps.Metrics, int64(e.core.OpenRequests()))
+	telemetry.SetGauge("reservations", e.deps.Metrics, int64(e.core.Reservations()))
+	for queue, share := range e.core.ServedShares(e.tickedAt) {
+		telemetry.SetGauge("served_percent."+queue, e.deps.Metrics, int64(math.Round(100*share)))
+	}
 	telemetry.SetGauge("durable.open", e.deps.Metrics, int64(e.durable.ledger.OpenJobs()))
 	telemetry.SetGauge("workers", e.deps.Metrics, e.workers.Load())
 	telemetry.SetGauge("ticks", e.deps.Metrics, e.ticks.Load())
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -313,7 +313,10 @@
 		line.Int("left_out", leftOut)
 	}
 	if decision.Key.Task != "" {
-		line.Str("task", decision.Key.Task).Uint32("run", decision.Key.Run).Str("entry", decision.Entry)
+		line.Str("task", decision.Key.Task).Uint32("run", decision.Key.Run)
+	}
+	if decision.Entry != "" {
+		line.Str("entry", decision.Entry)
 	}
 	if decision.Version != 0 {
 		line.Uint64("version", decision.Version)
@@ -334,6 +337,7 @@
 func (a *Agent) publishMetrics() {
 	telemetry.SetGauge("links", a.deps.Metrics, int64(len(a.links)))
 	telemetry.SetGauge("runs", a.deps.Metrics, int64(a.core.RunCount()))
+	telemetry.SetGauge("reservations", a.deps.Metrics, int64(a.core.ReservationCount()))
 	telemetry.SetGauge("logs.dropped", a.deps.Metrics, a.deps.Logs.Dropped())
 	a.traffic.Log(boottime.Now(), a.log, "agent: traffic", len(a.links))
 }
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -18,6 +18,11 @@
 // (ToAgent.Owned). The agent adopts those that run and answers the others with an end. A broken
 // link therefore stops no run before the lease has expired.
 //
+// Reservations. A task for which no worker is known to be free waits in its entry. The entry reserves
+// resources for it with several agents; the first agent that has them holds them for a moment and
+// offers them, and the entry binds one waiting task to the offer by an ordinary start. A reservation
+// starts nothing by itself, and it ends with its link, the entry's lease or its timeout.
+//
 // Durable jobs. The worker keeps the end of a run of a durable job until its agent acknowledges
 // the end. The agent does so only once the entry has stored the end (ToAgent.AckedEnds). If an end
 // is not stored for a while, the agent asks all linked entries about it (ToEntry.UnownedEnds), so
@@ -76,6 +81,8 @@
 	// Born is the time when the incarnation started, in Unix ms; 0 if the server does not
 	// report it.
 	Born int64 `cbor:"10,keyasint,omitempty"`
+	// TakesReservations is true if the agent handles ToAgent.Reserve.
+	TakesReservations bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Incarnation identifies one incarnation of a backend server, by its ID and its start time. A
@@ -121,6 +128,20 @@
 	Durable bool `cbor:"8,keyasint,omitempty"`
 	// Isolation determines next to which other tasks the run may start.
 	Isolation Isolation `cbor:"9,keyasint,omitempty"`
+	// Reservation is the reservation whose offered resources the run takes; 0 if there is none.
+	Reservation uint64 `cbor:"10,keyasint,omitempty"`
+}
+
+// Reservation requests resources for one run of an entry that has none yet.
+type Reservation struct {
+	// ID identifies the reservation on its link. It is never 0.
+	ID   uint64         `cbor:"1,keyasint"`
+	Need room.Resources `cbor:"2,keyasint"`
+	// Slack and StartTimeout are those of the run; see Start.
+	Slack        time.Duration `cbor:"3,keyasint"`
+	StartTimeout time.Duration `cbor:"4,keyasint"`
+	// Copies is the number of agents with which the entry reserves for each waiting run.
+	Copies int `cbor:"5,keyasint"`
 }
 
 // Isolation is the level of isolation that a task gets on its worker because it may crash workers.
@@ -291,11 +312,9 @@
 	SharingEntries int `cbor:"7,keyasint,omitempty"`
 }
 
-// Progress reports on a run that waits, takes much longer than estimated, or has a new checkpoint.
+// Progress reports on a run that takes much longer than estimated, or has a new checkpoint.
 type Progress struct {
 	Key Key `cbor:"1,keyasint"`
-	// Waiting is true if the run has not begun; Remaining is then not set.
-	Waiting bool `cbor:"3,keyasint,omitempty"`
 	// Remaining is the expected time until the end of the run. It grows if the run makes no
 	// progress.
 	Remaining time.Duration `cbor:"2,keyasint"`
@@ -316,6 +335,10 @@
 	// UnownedEnds are ends that the agent keeps because they have not been stored for a while. An
 	// entry answers those of its own jobs, and of jobs that are not durable or have ended.
 	UnownedEnds []End `cbor:"7,keyasint,omitempty"`
+	// Offers are reservations whose resources the agent holds for a moment.
+	Offers []uint64 `cbor:"8,keyasint,omitempty"`
+	// Dropped are reservations that the agent no longer has, though the entry has not released them.
+	Dropped []uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // ToAgent is one message from an entry to an agent.
@@ -330,8 +353,6 @@
 	// Moves are runs to end because the entry will start their tasks on another worker, once
 	// the agent has reported the end.
 	Moves []Key `cbor:"12,keyasint,omitempty"`
-	// WithdrawWaiting are runs to end if they are still waiting; a run that has begun goes on.
-	WithdrawWaiting []Key `cbor:"7,keyasint,omitempty"`
 	// Clock is the newest ToEntry.Clock plus the time since its arrival, in nanoseconds; 0
 	// before the first one has arrived. It renews the lease.
 	Clock int64 `cbor:"5,keyasint,omitempty"`
@@ -347,6 +368,9 @@
 	// Drains is set on the first message, after each change, and from time to time to confirm
 	// that the view is still valid.
 	Drains *DrainView `cbor:"11,keyasint,omitempty"`
+	// Reserve are new reservations, Released reservations that are no longer needed.
+	Reserve  []Reservation `cbor:"13,keyasint,omitempty"`
+	Released []uint64      `cbor:"14,keyasint,omitempty"`
 }
 
 // Member is a record about one entry in the view of the entries' membership.
