--- a/core/batch/admit_test.go
+++ b/core/batch/admit_test.go
@@ -56,3 +56,25 @@
 	_, other = refusedInBurst(t, p)
 	is.Equal(other, 0)
 }
+
+// TestForecastCountsOnlyWorkersThatMayRunTheTasks: a worker that is about to be free does not help a
+// task that needs another label.
+func TestForecastCountsOnlyWorkersThatMayRunTheTasks(t *testing.T) {
+	for _, label := range []string{"x", "y"} {
+		h := newHarness(t, 2)
+		h.settings.Policy = policyWithout(t, policy.Deferring)
+		for i, wait := range []int{20, 300} {
+			h.receiveReport(begin, i, func(m *runs.ToEntry) {
+				m.Worker.Labels = []string{[]string{"x", "y"}[i]}
+				m.Load.Free = room.Resources{Memory: 1000}
+				m.Load.ExpectedEnds = []runs.ExpectedEnd{{After: wait, CPU: 4000}}
+			})
+		}
+		h.Submit(begin, &Request{
+			ID: 1, Job: jobName(1), Queue: queue, Deadline: after(1500),
+			Steps: []Step{{Count: 2, Need: need, Estimate: 100 * time.Millisecond, Requires: label}},
+		})
+		h.flush(begin)
+		h.is.Equal(len(h.answers) > 0, label == "y")
+	}
+}
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -201,6 +201,8 @@
 	// given last.
 	reservations      ordered.Map[uint64, *reservation]
 	newestReservation uint64
+	// ownDelay is the mean time that requests have waited in this process lately.
+	ownDelay time.Duration
 	// startedWork is the work started for each service.
 	startedWork map[string]*startedWork
 	rand        *rand.Rand
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -29,12 +29,17 @@
 }
 
 // forecastStep returns the expected time until all waiting tasks of a step have started: behind the
-// waiting work with no more slack than the given band, and behind all waiting work.
+// waiting work with no more slack than the given band, and behind all waiting work. Only workers
+// count that may run its tasks.
 func (c *Core) forecastStep(j *job, s *step, band int) (wait, behindAll time.Duration) {
 	f := supply.New(s.Need.CPU)
 	unreported := c.unreportedCPU(j.queue.Service)
 	ahead, all := unreported, unreported
+	nothingPlanned := &plannedLoad{}
 	for _, a := range c.planCandidates {
+		if !c.isAllowed(s.tasks[0], a, nothingPlanned) {
+			continue
+		}
 		f.Add(a.supply(c.now))
 		for i, cpu := range a.load.Waiting {
 			all += float64(cpu)
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -125,6 +125,7 @@
 // Submit handles a new or repeated submission of a job.
 func (c *Core) Submit(now time.Time, r *Request) {
 	c.Advance(now)
+	c.observeOwnDelay(r)
 	if now.Before(c.settledAt) {
 		// Requests read right after a suspension may have been sent long before, by callers that
 		// have gone to another entry since.
--- a/core/batch/reserve.go
+++ b/core/batch/reserve.go
@@ -22,16 +22,34 @@
 // reservation is a reservation at an agent for one waiting task of a step.
 type reservation struct {
 	id   uint64
-	job  *job
 	step *step
 	link LinkID
 	// sentAt is when it was sent.
 	sentAt time.Time
 }
 
-// canReserve reports whether a placement has to wait and its agent takes reservations for it.
+const (
+	// minReservedWait is the shortest expected wait for which resources are reserved: the messages of
+	// a reservation take one round trip more than a run in the agent's queue.
+	minReservedWait = 5 * time.Millisecond
+	// bindingDelayFactor is the number of times that this entry handles a message for a reservation
+	// until the task starts.
+	bindingDelayFactor = 2
+	// ownDelayDecay is the factor on the mean delay at each request, so that about the last ten count.
+	ownDelayDecay = 0.9
+)
+
+// observeOwnDelay takes the time that a request has waited in this process. An entry that is short of
+// processor time handles all messages late.
+func (c *Core) observeOwnDelay(r *Request) {
+	delay := c.now.Sub(c.arrivalTime(r))
+	c.ownDelay = time.Duration(ownDelayDecay*float64(c.ownDelay) + (1-ownDelayDecay)*float64(delay))
+}
+
+// canReserve reports whether a placement has to wait longer than a reservation takes, and its agent
+// takes reservations for it.
 func (c *Core) canReserve(pl placement) bool {
-	return pl.wait > 0 && pl.task.job.durable == nil && pl.task.isolation() == runs.IsolationNone &&
+	return pl.wait >= minReservedWait+bindingDelayFactor*c.ownDelay && pl.task.job.durable == nil && pl.task.isolation() == runs.IsolationNone &&
 		pl.agent.worker.TakesReservations && c.settings.Policy.Enabled(policy.Reserving)
 }
 
@@ -79,7 +97,7 @@
 // reserveAt sends a reservation for a task to an agent.
 func (c *Core) reserveAt(a *agent, t *task) {
 	c.newestReservation++
-	r := &reservation{id: c.newestReservation, job: t.job, step: t.step, link: a.link, sentAt: c.now}
+	r := &reservation{id: c.newestReservation, step: t.step, link: a.link, sentAt: c.now}
 	c.reservations.Put(r.id, r)
 	t.step.reservations = append(t.step.reservations, r)
 	a.out.Reserve = append(a.out.Reserve, runs.Reservation{
--- a/core/batch/reserve_test.go
+++ b/core/batch/reserve_test.go
@@ -199,3 +199,24 @@
 		}
 	})
 }
+
+// TestSlowEntryDoesNotReserveForShortWaits: each message of a reservation waits in the process of an
+// entry that is short of processor time, so that a run in the agent's queue starts sooner.
+func TestSlowEntryDoesNotReserveForShortWaits(t *testing.T) {
+	for _, c := range []struct {
+		delay, busyUntil int
+		reserves         bool
+	}{{0, 2, false}, {0, 20, true}, {30, 20, false}} {
+		h := newBusyHarness(t, 2, c.busyUntil)
+		for n := range 20 {
+			now := after(0)
+			h.Submit(now, &Request{
+				ID: RequestID(100 + n), Job: jobName(100 + n), Queue: queue, Arrived: now.Add(-time.Duration(c.delay) * time.Millisecond),
+				Deadline: now.Add(time.Second), Steps: []Step{{Count: 1, Need: room.Resources{CPU: 100000}, Estimate: time.Second}},
+			})
+		}
+		out := h.submit(after(0), 1, 1, 100*time.Millisecond)
+		starts := startsByLink(out)
+		h.is.Equal(len(starts[0])+len(starts[1]) == 0, c.reserves)
+	}
+}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -390,20 +389,6 @@
 	e.entryTraffic.Log(e.tickedAt, e.log, "entry: traffic", e.peers.exchangeCount())
 }
 
-// shareGaugesInterval is the interval at which the metrics of shares are updated.
-const shareGaugesInterval = time.Second
-
-// updateShareGauges updates the metrics of who is served.
-func (e *Entry) updateShareGauges() {
-	if e.tickedAt.Sub(e.shareGaugesAt) < shareGaugesInterval {
-		return
-	}
-	e.shareGaugesAt = e.tickedAt
-	for queue, share := range e.core.ServedShares(e.tickedAt) {
-		telemetry.SetGauge("served_percent."+queue, e.deps.Metrics, int64(math.Round(100*share)))
-	}
-}
-
 // Submit runs a job and returns its answer. wait is the time until the job's deadline, counted from
 // the arrival of the request. If ctx ends first, because the caller has disconnected, the job is
 // cancelled. If the entry stops first, the kind of the answer is errkind.FateUnknown.
--- a/service/batch/levels.go
+++ b/service/batch/levels.go
@@ -1,9 +1,11 @@
 package batch
 
 import (
+	"math"
 	"time"
 
 	core "peridotpick.example/core/batch"
+	"peridotpick.example/service/telemetry"
 	"peridotpick.example/wire/runs"
 )
 
@@ -21,3 +23,17 @@
 	}
 	p.entry.post(func(c *core.Core, now time.Time) { c.MergeLevels(now, entry, levels) })
 }
+
+// shareGaugesInterval is the interval at which the metrics of shares are updated.
+const shareGaugesInterval = time.Second
+
+// updateShareGauges updates the metrics of who is served.
+func (e *Entry) updateShareGauges() {
+	if e.tickedAt.Sub(e.shareGaugesAt) < shareGaugesInterval {
+		return
+	}
+	e.shareGaugesAt = e.tickedAt
+	for queue, share := range e.core.ServedShares(e.tickedAt) {
+		telemetry.SetGauge("served_percent."+queue, e.deps.Metrics, int64(math.Round(100*share)))
+	}
+}
