--- a/core/batch/reserve.go
+++ b/core/batch/reserve.go
@@ -29,9 +29,6 @@
 }
 
 const (
-	// minReservedWait is the shortest expected wait for which resources are reserved: the messages of
-	// a reservation take one round trip more than a run in the agent's queue.
-	minReservedWait = 5 * time.Millisecond
 	// bindingDelayFactor is the number of times that this entry handles a message for a reservation
 	// until the task starts.
 	bindingDelayFactor = 2
@@ -46,10 +43,10 @@
 	c.ownDelay = time.Duration(ownDelayDecay*float64(c.ownDelay) + (1-ownDelayDecay)*float64(delay))
 }
 
-// canReserve reports whether a placement has to wait longer than a reservation takes, and its agent
-// takes reservations for it.
+// canReserve reports whether a placement has to wait longer than the messages of a reservation wait in
+// this process, and its agent takes reservations for it.
 func (c *Core) canReserve(pl placement) bool {
-	return pl.wait >= minReservedWait+bindingDelayFactor*c.ownDelay && pl.task.job.durable == nil && pl.task.isolation() == runs.IsolationNone &&
+	return pl.wait > bindingDelayFactor*c.ownDelay && pl.task.job.durable == nil && pl.task.isolation() == runs.IsolationNone &&
 		pl.agent.worker.TakesReservations && c.settings.Policy.Enabled(policy.Reserving)
 }
 
