A run in flight that the next incarnation lists goes on

A start without an answer when its worker was lost stayed marked as in flight, and was ended 2.6 s after its order though every poll listed it; its task could then start a second time beside it.

Change: a listed run is no longer in flight. TestRunThatTheNextIncarnationListsGoesOn fails without it.

--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -346,7 +346,7 @@
 		if r.phase == phaseWaiting {
 			continue // a run with the same key of a previous process; its stop ends it
 		}
-		r.incarnation, r.lossReason, r.suspect = c.worker.info.Incarnation(), runs.ReasonNone, false
+		r.incarnation, r.lossReason, r.suspect, r.inFlight = c.worker.info.Incarnation(), runs.ReasonNone, false, false
 		c.markRunning(r)
 		r.percentDone = listed.Percent
 		r.checkpoint = listed.Checkpoint
--- a/core/runner/restart_test.go
+++ b/core/runner/restart_test.go
@@ -203,3 +203,22 @@
 	h.is.Equal(len(h.retired.members), maxRetired)
 	h.is.Equal(len(h.retired.order), maxRetired)
 }
+
+// TestRunThatTheNextIncarnationListsGoesOn: it was in flight when its worker was lost, and runs for
+// longer than any lease of that time. To end it would have its task started a second time.
+func TestRunThatTheNextIncarnationListsGoesOn(t *testing.T) {
+	h := newRestartHarness(t)
+	h.send(start, "t1")
+	h.WorkerAnnounced(after(1), workerStartedAt(secondStart), 7000)
+	h.handleIncarnationOver()
+	running := Listing{Running: []Running{{Key: key("t1"), Percent: 1}}}
+	for ms := 10; ms <= 4000; ms += 10 {
+		h.heartbeat(after(ms))
+		h.Tick(after(ms))
+		if poll, ok := h.NextPoll(after(ms)); ok {
+			h.PollAnswered(after(ms), poll, Answer{Status: Accepted, Clock: int64(7000 + ms), Born: secondStart}, running)
+		}
+		h.is.Equal(len(ends(h.Flush(after(ms)))), 0)
+	}
+	h.is.Equal(h.RunCount(), 1)
+}
