Comments of core/batch and core/runner without shares of lost jobs

Cause: comments of files that the reservations touch told what a run had shown. Change: they give the reason instead; no code is changed (the built packages differ by comments only).

--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -283,8 +283,8 @@
 }
 
 // heartbeatCheckInterval is the shortest time between two scans of all agents for due heartbeats, a
-// tenth of the shortest heartbeat interval. A scan after each event takes 40% of the processor time
-// of an entry with 240 agents.
+// tenth of the shortest heartbeat interval. A scan after each event would take much of the processor
+// time of an entry with hundreds of agents.
 const heartbeatCheckInterval = 10 * time.Millisecond
 
 // flushAgents sends pending messages and due heartbeats to agents.
--- a/core/batch/defer.go
+++ b/core/batch/defer.go
@@ -15,8 +15,8 @@
 //
 // Deferring serves short overloads: a burst, or workers lost for a few seconds. If every job that
 // would be late were refused, its caller would get nothing although the capacity becomes free a
-// moment later. Without deferring 2.9% of the jobs in such loads are refused; with it 0.9% are, and
-// 3% are served late. Under a lasting overload it makes some jobs late that would be in time.
+// moment later. Under a lasting overload it makes some jobs late that would be in time, so that the
+// admission gate bounds it by the share of deferred jobs that are served.
 const (
 	// deferredSlack places the runs of deferred jobs behind all others at agents. It is far beyond
 	// the last slack band, so that these runs do not count against others.
@@ -43,8 +43,8 @@
 }
 
 // maxDeferredWaitShare is the share of a job's useful slack within which it must be expected to
-// start. With the whole of it nearly half of the deferred jobs of a lasting burst are given up
-// after half a second, in which their callers could have gone to another entry.
+// start. The expected wait is rough, and a job that is given up has cost its caller the time in which
+// it could have gone to another entry.
 const maxDeferredWaitShare = 0.3
 
 // isStartingUp reports whether the entry started recently and knows no worker of a service
@@ -110,10 +110,8 @@
 
 // spareRate returns the rate at which deferred work is expected to be started, in thousandths of a
 // core: the recent rate, or what immediately started work leaves of this entry's share of the
-// capacity. That is little in a burst, and nearly all of it right after all workers have returned.
-// If a constant fifth of the capacity were assumed instead, jobs with 4.6% of the total job value
-// would wait in vain in bursts with lost workers; with this rate and maxDeferredWaitShare it is
-// 1.5%.
+// capacity. That is little in a burst, and nearly all of it right after all workers have returned. A
+// constant share of the capacity would be too much in a burst.
 func (c *Core) spareRate(service string) float64 {
 	cpu := c.cpuShare(service)
 	work := c.startedWorkOf(service)
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -217,8 +217,8 @@
 // but a changed load. Each start and end changes the load: sending each change at once on each
 // link costs a message for each task and entry, which saturates the processors of 55 entries with
 // 240 agents even under low load. Ends, progress reports and heartbeats carry the load anyway.
-// With the six links of a subset, 480 a second are one every 12 ms on each link. With 160 a second
-// 0.842 of the total job value is earned in a burst, with 480 it is 0.866.
+// With the six links of a subset, 480 a second are one every 12 ms on each link: less than a short
+// task takes.
 const loadUpdatesPerSecond = 480
 
 // loadUpdateInterval returns the shortest interval between load updates on one link. It grows
