--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -4,8 +4,8 @@
 // It serves loads above the capacity that last for seconds. The number of jobs that are served is the
 // same whichever are admitted, as long as some work waits for each worker. What is admitted beyond
 // that only makes jobs late. So jobs are admitted while the forecast wait is a part of the time that
-// they can wait. While a more urgent queue loses work, a queue gives way to it by a shorter permitted
-// wait: it still takes resources that nobody waits for.
+// they can wait, and a queue gives way to more urgent ones by a shorter permitted wait: it still takes
+// resources that nobody waits for.
 //
 // A Gate is deterministic: it has no clock and does no I/O.
 package admission
@@ -159,7 +159,7 @@
 		return NoTime
 	case float64(f.Wait) > g.waitFactor(now, j)*waitShare*float64(f.Slack):
 		return OverShare
-	case f.WaitBehindAll > g.permittedBehindAll(now, q) && g.mustLeaveResources(now, q):
+	case f.WaitBehindAll > g.permittedBehindAll(now, q) && g.isAboveFloor(now, q):
 		return GiveWay
 	}
 	return Admit
@@ -205,9 +205,8 @@
 	return slices.CompactFunc(list, func(a, b *state) bool { return a.queue.Priority == b.queue.Priority })
 }
 
-// mustLeaveResources reports whether a more urgent queue loses work, and the given one is served so
-// well that it may give way.
-func (g *Gate) mustLeaveResources(now time.Time, q Queue) bool {
+// isAboveFloor reports whether a queue is served so well that it may give way.
+func (g *Gate) isAboveFloor(now time.Time, q Queue) bool {
 	urgent := 1.0
 	for _, s := range g.queues {
 		if s.queue.Service == q.Service && s.queue.Priority < q.Priority {
@@ -215,7 +214,7 @@
 			urgent = min(urgent, s.servedShare())
 		}
 	}
-	return urgent < 1-shortageShare && g.state(now, q).servedShare() > g.floor*urgent
+	return g.state(now, q).servedShare() > g.floor*urgent
 }
 
 // Shares returns the share of the offered work of each queue that was served lately, by name.
--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -44,8 +44,6 @@
 	for _, q := range []Queue{urgent, less, least} {
 		offer(g, begin, q, 20)
 	}
-	is.Equal(g.Decide(begin, Job{Queue: least}, waiting(100*time.Millisecond)), Admit) // nothing urgent is lost
-	g.Lost(begin, Job{Queue: urgent, Work: 1000})
 	for _, c := range []struct {
 		q     Queue
 		limit time.Duration
@@ -69,7 +67,6 @@
 	is := is.New(t)
 	g := NewGate(DefaultFloor)
 	offer(g, begin, urgent, 20)
-	g.Lost(begin, Job{Queue: urgent, Work: 2000})
 	is.Equal(g.Decide(begin, Job{Queue: less}, waiting(100*time.Millisecond)), GiveWay)
 	is.Equal(g.Decide(begin.Add(20*time.Second), Job{Queue: less}, waiting(100*time.Millisecond)), Admit)
 }
@@ -82,14 +79,13 @@
 		g := NewGate(floor)
 		offer(g, begin, urgent, 100)
 		offer(g, begin, less, 100)
-		g.Lost(begin, Job{Queue: urgent, Work: 3000})
 		lost := 0
 		for g.Decide(begin, Job{Queue: less}, waiting(100*time.Millisecond)) == GiveWay {
 			g.Lost(begin, Job{Queue: less, Work: 1000})
 			lost++
 		}
 		is.True(lost < 100)
-		is.True(float64(lost) >= (1-floor)*100) // and no sooner; the urgent queue has lost 3
+		is.True(float64(lost) >= (1-floor)*100) // and no sooner
 	}
 }
 
@@ -101,7 +97,6 @@
 	offer(g, begin, urgent, 100)
 	offer(g, begin, less, 100)
 	g.Lost(begin, Job{Queue: less, Work: 20000})
-	g.Lost(begin, Job{Queue: urgent, Work: 3000})
 	is.Equal(g.Decide(begin, Job{Queue: less}, waiting(100*time.Millisecond)), Admit)
 	g.Lost(begin, Job{Queue: urgent, Work: 50000})
 	is.Equal(g.Decide(begin, Job{Queue: less}, waiting(100*time.Millisecond)), GiveWay)
@@ -116,11 +111,7 @@
 		for _, q := range queues {
 			for range rapid.IntRange(0, 20).Draw(t, "jobs") {
 				slack := time.Duration(rapid.IntRange(1, 1000).Draw(t, "slack")) * time.Millisecond
-				j := Job{Queue: q, Work: float64(rapid.IntRange(10, 5000).Draw(t, "work"))}
-				g.Offered(begin, j, slack)
-				if rapid.Bool().Draw(t, "lost") {
-					g.Lost(begin, j)
-				}
+				g.Offered(begin, Job{Queue: q, Work: float64(rapid.IntRange(10, 5000).Draw(t, "work"))}, slack)
 			}
 		}
 		f := waiting(time.Duration(rapid.IntRange(1, 2000).Draw(t, "behind")) * time.Millisecond)
