core/batch: a field that nothing reads is gone

Cause: the learned waits read task.expectedWait; they went with the reservations. Change: the field and its two assignments are removed. No behaviour is changed.

--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -70,8 +70,6 @@
 	sentAt time.Time
 	// expected is the expected time from the start message to the end of the run.
 	expected time.Duration
-	// expectedWait is the part of expected before the start.
-	expectedWait time.Duration
 	// slow is set if the agent reported that the run takes longer than estimated.
 	slow bool
 	// remaining is the last reported time to the end of a slow run.
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -287,7 +287,6 @@
 	t.worker = a.worker.ID
 	t.sentAt = c.now
 	t.expected = pl.wait + pl.run
-	t.expectedWait = pl.wait
 	a.startsSent++
 	a.runCount++
 	if pl.reservation == 0 {
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -296,7 +296,7 @@
 func (c *Core) adoptRun(t *task, a *agent, run uint32) {
 	t.state, t.run, t.takenOver = taskPlaced, run, false
 	t.link, t.agent, t.worker = a.link, a.worker.Agent, a.worker.ID
-	t.sentAt, t.expected, t.expectedWait = c.now, t.step.estimate, 0
+	t.sentAt, t.expected = c.now, t.step.estimate
 	t.stopping, t.moving = false, false
 	a.runCount++
 }
