--- /dev/null
+++ b/review/bed/case_config.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+)
+
+func init() { plays["config-late"] = playConfigLate }
+
+// acceptJobs hands jobs in at the entries in turn. It returns the names of those that were accepted.
+func acceptJobs(d *deployment, count int, j job) []string {
+	var accepted []string
+	for i := range count {
+		name := newName()
+		m := d.entries[i%len(d.entries)]
+		if status, _ := d.call(m, http.MethodPost, prefix+name, j, 1500*time.Millisecond); status == http.StatusOK {
+			accepted = append(accepted, name)
+		}
+	}
+	return accepted
+}
+
+// awaitJobs waits until all jobs are shown as done, at most for the given time. It returns the
+// state of the others.
+func awaitJobs(d *deployment, names []string, longest time.Duration) map[string]string {
+	open := make(map[string]string)
+	for _, name := range names {
+		open[name] = ""
+	}
+	for deadline := time.Now().Add(longest); len(open) > 0 && time.Now().Before(deadline); time.Sleep(500 * time.Millisecond) {
+		for name := range open {
+			open[name] = d.state(d.entries[0], name)
+			if open[name] == "done" {
+				delete(open, name)
+			}
+		}
+	}
+	return open
+}
+
+// lastActivity returns when a run of a job last began or ended, and how many tasks ended done.
+func lastActivity(d *deployment, name string) (last time.Time, done int) {
+	tasks := make(map[string]bool)
+	for _, r := range d.runs.ofJob(name) {
+		if r.How == "" {
+			last = time.Now() // it runs
+		}
+		if r.Began.After(last) {
+			last = r.Began
+		}
+		if r.Ended.After(last) {
+			last = r.Ended
+		}
+		if r.How == "done" {
+			tasks[r.Task] = true
+		}
+	}
+	return last, len(tasks)
+}
+
+// idleJobs reports the accepted jobs that are not done and have had nothing running for 3 s. It is
+// called long after the disruption, when every task's turn has come and all executors are idle.
+func idleJobs(d *deployment, rec *record, open map[string]string, tasks int) int {
+	idle := 0
+	for name, state := range open {
+		last, done := lastActivity(d, name)
+		if time.Since(last) < 3*time.Second {
+			continue
+		}
+		idle++
+		rec.say("job %s is shown as %q, %d of %d tasks are done, nothing of it ran for %.1f s", name, state, done, tasks, min(time.Since(last), time.Hour).Seconds())
+	}
+	return idle
+}
+
+// playConfigLate has all entries killed while the partition of the store with the operator's table
+// is down. The durable jobs are read and taken over before there is a configuration.
+func playConfigLate(rec *record, trouble bool) (bool, error) {
+	d, err := newDeployment(rec, 3, 4)
+	if err != nil {
+		return false, err
+	}
+	defer d.stop()
+	if err := d.configure(prefix); err != nil {
+		return false, err
+	}
+	if err := d.start(); err != nil {
+		return false, err
+	}
+	work := chain(5, 2, 800*time.Millisecond)
+	accepted := acceptJobs(d, 30, work)
+	rec.say("%d of 30 jobs accepted", len(accepted))
+	if len(accepted) < 20 {
+		return false, errNotServed
+	}
+	if trouble {
+		rec.say("a partition of the store is down for 4.5 s")
+		d.store.setDown(func(_, table, part string) bool { return os.Getenv("VAR") == "whole" || part == "" && table != "jobs" })
+		began := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		rec.say("all entries are killed, and start again 1 s later")
+		victims := d.entries
+		if os.Getenv("VAR") == "one" {
+			victims = d.entries[:1]
+		}
+		for _, m := range victims {
+			d.killMachine(m)
+		}
+		time.Sleep(time.Second)
+		for _, m := range victims {
+			if err := d.startMachine(m); err != nil {
+				return false, err
+			}
+		}
+		time.Sleep(time.Until(began.Add(4500 * time.Millisecond)))
+		d.store.setDown(nil)
+		rec.say("the store is whole again")
+	}
+	open := awaitJobs(d, accepted, 40*time.Second)
+	rec.say("%d of %d accepted jobs are not done", len(open), len(accepted))
+	return idleJobs(d, rec, open, work.tasks()) > 0, nil
+}
