review/2: two owners in a row give runs of a task the same number (TWICE)

Found by reading startTask and receiveDurableEnd in core/batch: run numbers under way are not stored, and for durable jobs an end is matched by its number alone.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-bed ] && [ -x target/peridotpick ] && [ -x target/peridotpick-agent ] || exit 2
-exec target/review-bed config-late review/2/record.txt
+exec target/review-bed same-run-number review/2/record.txt
--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -190,16 +191,21 @@
 	}
 }
 
-// specTime finds the run time of a task in its spec.
-var specTime = regexp.MustCompile(`ms=(\d+)`)
+// specTimes finds the run times in a spec: one for all tasks, or one for each step.
+var specTimes = regexp.MustCompile(`ms=([\d,]+)`)
 
-func runTime(spec string) time.Duration {
-	found := specTime.FindStringSubmatch(spec)
-	if found == nil {
-		return 50 * time.Millisecond
+// runTime returns how long a task runs, by its spec and its name ID.K.STEP.INDEX.
+func runTime(spec, task string) time.Duration {
+	const shortest = 50 * time.Millisecond
+	found := specTimes.FindStringSubmatch(spec)
+	name := strings.Split(task, ".")
+	if found == nil || len(name) != 4 {
+		return shortest
 	}
-	ms, _ := strconv.Atoi(found[1])
-	return time.Duration(ms) * time.Millisecond
+	times := strings.Split(found[1], ",")
+	step, _ := strconv.Atoi(name[2])
+	ms, _ := strconv.Atoi(times[min(step, len(times)-1)])
+	return max(time.Duration(ms)*time.Millisecond, shortest)
 }
 
 func (e *executor) serveStart(w http.ResponseWriter, r *http.Request) {
@@ -228,7 +234,7 @@
 	e.log.mu.Lock()
 	e.log.runs = append(e.log.runs, began)
 	e.log.mu.Unlock()
-	began.timer = time.AfterFunc(runTime(o.Spec), func() {
+	began.timer = time.AfterFunc(runTime(o.Spec, o.Task), func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.end(began, "done")
