--- a/review/bed/deployment.go
+++ b/review/bed/deployment.go
@@ -63,6 +63,7 @@
 		return nil, err
 	}
 	d := &deployment{rec: rec, dir: dir, store: newStore(rec), runs: new(runLog)}
+	current = d
 	if d.net, err = freeNet(); err != nil {
 		return nil, err
 	}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -31,6 +31,9 @@
 
 var plays = map[string]play{}
 
+// current is the deployment of the case, to be stopped if the case is interrupted.
+var current *deployment
+
 func main() { os.Exit(playCase()) }
 
 func playCase() int {
@@ -72,5 +75,8 @@
 	case <-time.After(maxLength):
 		rec.say("the case took too long")
 	}
-	return exitNotRun // the processes end with this one
+	if current != nil {
+		current.stop()
+	}
+	return exitNotRun
 }
