--- a/review/bed/case_twice.go
+++ b/review/bed/case_twice.go
@@ -28,8 +28,8 @@
 	for i, e := range d.executors {
 		n := 0
 		e.mu.Lock()
-		for task := range e.running {
-			if strings.Contains(task, suffix) {
+		for id := range e.running {
+			if strings.Contains(id.task, suffix) {
 				n++
 			}
 		}
--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -38,6 +38,14 @@
 	seq   int
 }
 
+// runID identifies a run on an executor.
+type runID struct {
+	task string
+	run  int
+}
+
+func (r *run) id() runID { return runID{r.Task, r.Run} }
+
 // runLog has all runs of all executors.
 type runLog struct {
 	mu   sync.Mutex
@@ -65,7 +73,7 @@
 	log                     *runLog
 	started                 time.Time
 	mu                      sync.Mutex
-	running                 map[string]*run
+	running                 map[runID]*run
 	highest                 map[string]int
 	ended                   []*run
 	lastEnd                 int
@@ -79,7 +87,7 @@
 func newExecutor(id, service, zone, rack, address, control string, rec *record, log *runLog) *executor {
 	return &executor{
 		id: id, service: service, zone: zone, rack: rack, address: address, control: control, rec: rec, log: log, started: time.Now().Add(-time.Minute),
-		running: make(map[string]*run), highest: make(map[string]int), endListed: make(chan struct{}), client: http.Client{Timeout: time.Second},
+		running: make(map[runID]*run), highest: make(map[string]int), endListed: make(chan struct{}), client: http.Client{Timeout: time.Second},
 	}
 }
 
@@ -214,7 +222,7 @@
 		return
 	}
 	defer e.mu.Unlock()
-	if present := e.running[o.Task]; present != nil && present.Run == o.Run {
+	if e.running[runID{o.Task, o.Run}] != nil {
 		e.extendLease(o.Deadline)
 		e.write(w, http.StatusOK, map[string]any{})
 		return
@@ -230,7 +238,7 @@
 	}
 	e.extendLease(o.Deadline)
 	began := &run{Task: o.Task, Run: o.Run, Executor: e.id, Began: time.Now()}
-	e.running[o.Task] = began
+	e.running[began.id()] = began
 	e.log.mu.Lock()
 	e.log.runs = append(e.log.runs, began)
 	e.log.mu.Unlock()
@@ -245,10 +253,10 @@
 
 // end ends a run; the executor is locked.
 func (e *executor) end(r *run, how string) {
-	if e.running[r.Task] != r {
+	if e.running[r.id()] != r {
 		return
 	}
-	delete(e.running, r.Task)
+	delete(e.running, r.id())
 	r.timer.Stop()
 	e.highest[r.Task] = max(e.highest[r.Task], r.Run)
 	e.lastEnd++
@@ -268,7 +276,7 @@
 	}
 	defer e.mu.Unlock()
 	e.highest[o.Task] = max(e.highest[o.Task], o.Run)
-	if present := e.running[o.Task]; present != nil && present.Run == o.Run {
+	if present := e.running[runID{o.Task, o.Run}]; present != nil {
 		e.end(present, "stopped")
 	}
 	e.write(w, http.StatusOK, map[string]any{})
