--- a/review/bed/case_config.go
+++ b/review/bed/case_config.go
@@ -62,11 +62,31 @@
 // idleBound is how long a job may have nothing running while a task's turn has come.
 const idleBound = 3 * time.Second
 
+// allIdleSince returns when any executor last ran something; now if one does.
+func allIdleSince(d *deployment) time.Time {
+	d.runs.mu.Lock()
+	defer d.runs.mu.Unlock()
+	var last time.Time
+	for _, r := range d.runs.runs {
+		if r.How == "" {
+			return time.Now()
+		}
+		if r.Ended.After(last) {
+			last = r.Ended
+		}
+	}
+	return last
+}
+
 // idleJobs reports the accepted jobs of which a task has not ended done and nothing has run for
-// idleBound. It is called long after the disruption, when the executors are idle: in each such job
-// the turn of a task has come.
+// idleBound. It reports none unless all executors have run nothing for that time: then none of the
+// capacity is in use, there is more than twice what a task needs, and in each job the turn of a task
+// of its first unfinished step has come.
 func idleJobs(d *deployment, rec *record, open map[string]string, tasks int) int {
 	idle := 0
+	if time.Since(allIdleSince(d)) < idleBound {
+		return 0
+	}
 	for name, state := range open {
 		last, done := lastActivity(d, name)
 		if time.Since(last) < idleBound || done == tasks {
--- a/review/bed/case_twice.go
+++ b/review/bed/case_twice.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -76,12 +77,12 @@
 const (
 	// restartTime is the short delay after which the platform starts a killed process again.
 	restartTime = 300 * time.Millisecond
-	// darkTime is how long the machine beside an executor has no power.
-	darkTime = 3500 * time.Millisecond
+	// freezeTime is how long the machine beside an executor stands still.
+	freezeTime = 4 * time.Second
 )
 
-// playSameRunNumber has all entries killed twice, the second time while a machine beside an
-// executor loses power.
+// playSameRunNumber has all entries killed twice, the second time while the process beside an
+// executor stands still. The executor runs on.
 func playSameRunNumber(rec *record, trouble bool) (bool, error) {
 	d, err := newDeployment(rec, 3, 5)
 	if err != nil {
@@ -110,16 +111,14 @@
 		}
 		time.Sleep(4500 * time.Millisecond)
 		side := busiest(d, ".0.1.")
-		rec.say("%s has no power for %v", side.name, darkTime)
-		d.killMachine(side)
-		back := time.Now().Add(darkTime)
+		rec.say("%s stands still for %v", side.name, freezeTime)
+		d.signal(side, syscall.SIGSTOP)
+		back := time.Now().Add(freezeTime)
 		if err := restartEntries(d, restartTime); err != nil {
 			return false, err
 		}
 		time.Sleep(time.Until(back))
-		if err := d.startMachine(side); err != nil {
-			return false, err
-		}
+		d.signal(side, syscall.SIGCONT)
 	}
 	open := awaitJobs(d, accepted, 30*time.Second)
 	rec.say("%d of %d accepted jobs are not done", len(open), len(accepted))
