--- a/core/batch/backlog.go
+++ b/core/batch/backlog.go
@@ -35,6 +35,11 @@
 	if !c.canStart(j) {
 		return false
 	}
+	if j.durable.outOfNumbers {
+		c.StopLost(c.now, j.name)
+		c.out.OutOfNumbers = append(c.out.OutOfNumbers, j.name)
+		return false
+	}
 	p := c.planWithin(j, maxDurableWait)
 	if len(p.placements) > 0 && j.durable.state == JobQueued {
 		j.durable.state = JobRunning
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -144,6 +144,9 @@
 	// OwnershipExpired lists durable jobs that were given up because the entry's ownership of them is no
 	// longer confirmed.
 	OwnershipExpired []string
+	// OutOfNumbers lists durable jobs that were stopped because a task has used up the run numbers of
+	// the epoch.
+	OutOfNumbers []string
 	// UnownedEnds lists held ends of jobs that are not here.
 	UnownedEnds []UnownedEnd
 	// Suspects lists tasks suspected of crashing workers, to be sent to the other entries.
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -15,6 +15,8 @@
 	Version uint64
 	Spec    string
 	Steps   []Step
+	// Epoch is the epoch of this owner, from 1. The entry must not have run the job under it before.
+	Epoch uint64
 	// Progress is the stored progress of its tasks.
 	Progress []TaskProgress
 	// SafeAt is when all runs that a previous owner may have started are over, and it starts no
@@ -43,7 +45,10 @@
 // durable is the additional state of a durable job.
 type durable struct {
 	state  JobState
+	epoch  uint64
 	safeAt time.Time
+	// outOfNumbers is set once a task has used the last run number of the epoch.
+	outOfNumbers bool
 	// seq is the number of the newest record emitted, storedSeq that of the newest record in the
 	// store.
 	seq, storedSeq uint64
@@ -100,7 +105,7 @@
 	}
 	j := c.newJob(&Request{Job: d.Job, Queue: d.Queue, Version: d.Version, Spec: d.Spec, Steps: d.Steps})
 	j.requests = nil
-	j.durable = &durable{safeAt: d.SafeAt}
+	j.durable = &durable{epoch: d.Epoch, safeAt: d.SafeAt}
 	if now.Before(d.SafeAt) {
 		// The previous owner has been lost for about as long as remains until SafeAt.
 		j.arrived = now.Add(now.Sub(d.SafeAt))
@@ -113,7 +118,6 @@
 	for i := range j.steps {
 		for _, t := range j.steps[i].tasks {
 			c.byTask[t.name] = t
-			t.takenOver = !d.SafeAt.IsZero()
 		}
 	}
 	c.logDecision(Decision{Event: "own", Job: j.name, Queue: j.queue.Name, Version: j.version, Wait: max(d.SafeAt.Sub(now), 0)})
--- a/core/batch/durable_test.go
+++ b/core/batch/durable_test.go
@@ -97,7 +97,7 @@
 
 func TestTakenOverJobWaitsForItsPreviousOwner(t *testing.T) {
 	h := newHarness(t, 1)
-	takenOver := func(d *DurableJob) { d.SafeAt = after(1000) }
+	takenOver := func(d *DurableJob) { d.Epoch, d.SafeAt = 2, after(1000) }
 	h.is.Equal(len(startsByLink(h.own(begin, 1, 2, takenOver))), 0)
 	// Ends are accepted at once, but nothing starts.
 	out := h.reportHeldEnd(after(500), 0, 1, 0, 3, runs.OutcomeDone)
@@ -111,7 +111,7 @@
 	}
 	h.is.Equal(len(starts), 1)
 	h.is.Equal(starts[0].Key.Task, TaskName(jobName(1), 0, 1))
-	h.is.True(starts[0].Key.Run > 1) // the previous owner's run numbers are not known
+	h.is.True(starts[0].Key.Run > maxRunsInEpoch) // the previous owner's run numbers are not known
 }
 
 // loseAgent breaks the link to an agent and lets both leases expire. It returns the records.
--- a/core/batch/ends.go
+++ b/core/batch/ends.go
@@ -81,7 +81,7 @@
 			t.refusedBy = make(map[string]int)
 		}
 		t.refusedBy[worker]++
-		if end.Reason == runs.ReasonStaleRun {
+		if end.Reason == runs.ReasonStaleRun && t.job.durable == nil {
 			t.run += runNumberGap
 		}
 	}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -60,7 +60,7 @@
 	step  *step
 	name  string
 	state taskState
-	// run is the number of the task's newest start.
+	// run is the number of the task's newest start. See nextRun.
 	run uint32
 	// link is the link on which the current run was started.
 	link LinkID
@@ -92,8 +92,6 @@
 	refusedBy map[string]int
 	// checkpoint is where the next run resumes; empty if there is none.
 	checkpoint string
-	// takenOver is set for tasks of a previous owner, whose newest run number is not known.
-	takenOver bool
 	// handledRuns are the runs whose held ends were handled, newestHandledRun the newest of them.
 	handledRuns      map[uint32]bool
 	newestHandledRun uint32
@@ -116,8 +114,8 @@
 
 func (t *task) key() runs.Key { return runs.Key{Task: t.name, Run: t.run} }
 
-// runNumberGap is added to the run number of a task when its worker may have seen a higher one,
-// from another entry that had the same job.
+// runNumberGap is added to the run number of a task of an awaited job when its worker has seen a
+// higher one, from another entry that had the same job.
 const runNumberGap = 16
 
 // Submit handles a new or repeated submission of a job.
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -276,10 +276,9 @@
 // startTask sends the start of a task to its agent.
 func (c *Core) startTask(pl placement) {
 	t, a, j := pl.task, pl.agent, pl.task.job
-	t.run++
-	if t.takenOver {
-		t.run += runNumberGap
-		t.takenOver = false
+	t.run = t.nextRun()
+	if t.usesLastNumber() {
+		j.durable.outOfNumbers = true
 	}
 	t.state = taskPlaced
 	t.link = a.link
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -294,7 +294,7 @@
 
 // adoptRun makes a run at an agent the current run of a task.
 func (c *Core) adoptRun(t *task, a *agent, run uint32) {
-	t.state, t.run, t.takenOver = taskPlaced, run, false
+	t.state, t.run = taskPlaced, run
 	t.link, t.agent, t.worker = a.link, a.worker.Agent, a.worker.ID
 	t.sentAt, t.expected = c.now, t.step.estimate
 	t.stopping, t.moving = false, false
--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -27,6 +27,9 @@
 	}
 	for _, name := range sortedNames(c.active) {
 		c.startIfConfirmed(c.active[name])
+		if c.active[name].needsEpoch {
+			c.sendNextWrite(c.active[name])
+		}
 	}
 }
 
@@ -117,17 +120,14 @@
 	if goneSince.IsZero() || c.now.Sub(goneSince) < time.Duration(c.takeoverRank(j.name))*takeoverDelayPerRank {
 		return
 	}
-	j.startDelay = c.settings.RunExpiry
+	startDelay := c.settings.RunExpiry
 	reason := "its process is gone"
 	if !certain {
-		j.startDelay += c.settings.OwnershipTTL
+		startDelay += c.settings.OwnershipTTL
 		reason = "its entry is silent"
 	}
 	c.logDecision(j, "take over", reason)
-	row := *j.row
-	row.Owner = c.settings.Self
-	row.Epoch++
-	c.sendWrite(j, row, 0, false)
+	c.acquire(j, startDelay)
 }
 
 // goneSince returns since when an owner is gone; zero if it is not. That is certain if another
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -115,10 +115,12 @@
 	pendingWrite  *Write
 	pendingRecord *batch.Record
 	// needsStart is set while this entry owns the job and has not handed it to its core yet.
-	// startDelay is how long runs of the previous owner, or runs from before ownership was
+	// startDelay is how long runs of the previous owner, or runs of this one from before the job was
 	// interrupted, may still go on.
 	needsStart bool
 	startDelay time.Duration
+	// needsEpoch is set while this entry owns the job but has run it under the present epoch before.
+	needsEpoch bool
 	// running is set while the entry's core runs the job.
 	running bool
 	// endedAt is when the job was first seen as ended; zero if it has not ended.
@@ -271,15 +273,27 @@
 // not confirmed in time. The job starts again once it is.
 func (c *Core) HandleOwnershipExpired(now time.Time, name string) {
 	c.now = now
+	c.interrupt(name, "ownership not confirmed")
+}
+
+// HandleOutOfNumbers handles that the entry's core has stopped a job because the run numbers of its
+// epoch are used up.
+func (c *Core) HandleOutOfNumbers(now time.Time, name string) {
+	c.now = now
+	c.interrupt(name, "run numbers used up")
+}
+
+// interrupt has a job that the entry's core has stopped start again under the next epoch.
+func (c *Core) interrupt(name, event string) {
 	j := c.jobs[name]
 	if j == nil || !j.running {
 		return
 	}
 	j.running = false
 	j.pendingRecord = nil
-	j.needsStart = true
-	j.startDelay = c.settings.RunExpiry
-	c.logDecision(j, "ownership not confirmed", "")
+	j.needsEpoch = true
+	c.logDecision(j, event, "")
+	c.sendNextWrite(j)
 }
 
 // State returns the stored state of a job, and whether the job is known.
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -206,7 +206,61 @@
 	c.Tick(after(5200))
 	is.Equal(len(c.Flush().Acquired), 0)
 	c.ApplyChanges(after(6000), nil, after(5990))
-	is.Equal(c.Flush().Acquired[0].SafeAt, after(6000).Add(time.Second))
+	out := c.Flush()
+	is.Equal(len(out.Acquired), 0)
+	is.Equal(out.Writes[0].Row.Epoch, uint64(2))
+	c.HandleWriteResult(after(6010), out.Writes[0], WriteResult{Status: Applied, Version: 8})
+	out = c.Flush()
+	is.Equal(out.Acquired[0].Row.Epoch, uint64(2))
+	is.Equal(out.Acquired[0].SafeAt, after(6010).Add(time.Second))
+}
+
+// TestInterruptedJobIsLeftToItsNextOwner guards against an entry that starts an interrupted job again
+// although another entry has taken it over.
+func TestInterruptedJobIsLeftToItsNextOwner(t *testing.T) {
+	is := is.New(t)
+	c := newCoreOwning("j")
+	c.HandleOwnershipExpired(after(5000), "j")
+	c.ApplyChanges(after(6000), nil, after(5990))
+	w := c.Flush().Writes[0]
+	taken := rowOfPeer("j", 9)
+	taken.Row.Epoch = 2
+	c.HandleWriteResult(after(6010), w, WriteResult{Status: Conflict, Current: taken})
+	c.RecordAlive(after(6010), []runs.Entry{other})
+	c.ApplyChanges(after(6100), nil, after(6090))
+	c.Tick(after(6300))
+	out := c.Flush()
+	is.Equal(len(out.Acquired), 0)
+	is.Equal(len(out.Writes), 0)
+}
+
+// TestJobOutOfNumbersGetsTheNextEpoch guards against run numbers that reach into those of the next
+// owner.
+func TestJobOutOfNumbersGetsTheNextEpoch(t *testing.T) {
+	is := is.New(t)
+	c := newCoreOwning("j")
+	c.HandleOutOfNumbers(after(10), "j")
+	w := c.Flush().Writes[0]
+	is.Equal(w.Row.Epoch, uint64(2))
+	is.Equal(w.Row.Owner, self)
+	c.HandleWriteResult(after(20), w, WriteResult{Status: Applied, Version: 8})
+	is.Equal(c.Flush().Acquired[0].SafeAt, after(20).Add(time.Second))
+}
+
+// TestJobWithoutAFurtherEpochFails guards against a run number that two owners give once the epochs
+// are used up.
+func TestJobWithoutAFurtherEpochFails(t *testing.T) {
+	is := is.New(t)
+	row := rowOfPeer("j", 4)
+	row.Row.Epoch = batch.MaxEpoch
+	c := newLoadedCore(row)
+	c.ApplyChanges(after(3000), nil, after(2990))
+	c.Tick(after(3000))
+	w := c.Flush().Writes[0]
+	is.Equal(w.Row.Epoch, uint64(batch.MaxEpoch))
+	is.Equal(w.Row.State, batch.JobFailed)
+	c.HandleWriteResult(after(3010), w, WriteResult{Status: Applied, Version: 8})
+	is.Equal(len(c.Flush().Acquired), 0)
 }
 
 func TestUnknownJobIsResolvedByAPollSentAfterTheQuestion(t *testing.T) {
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -12,7 +12,8 @@
 type Row struct {
 	Queue string     `cbor:"1,keyasint"`
 	Owner runs.Entry `cbor:"2,keyasint"`
-	// Epoch counts the changes of the owner; the first owner has epoch 1.
+	// Epoch counts how often an entry became the owner; the first owner has epoch 1. An entry that
+	// has interrupted the job becomes its owner anew.
 	Epoch uint64         `cbor:"3,keyasint"`
 	State batch.JobState `cbor:"4,keyasint"`
 	// Writer is the incarnation of the entry that has written this row, Write the number of that
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -34,6 +34,8 @@
 	case len(j.cancelRequests) > 0:
 		row.State = batch.JobCancelled
 		c.sendWrite(j, row, 0, true)
+	case j.needsEpoch && c.isOwned(j) && c.isConfirmed():
+		c.acquire(j, c.settings.RunExpiry)
 	case j.pendingRecord != nil && c.isOwned(j):
 		row.State = j.pendingRecord.State
 		row.Progress = j.pendingRecord.Progress
@@ -42,6 +44,22 @@
 	}
 }
 
+// acquire makes this entry the owner of a job under the next epoch. startDelay is how long runs that
+// were started under earlier ones may still go on. A job without a further epoch fails.
+func (c *Core) acquire(j *job, startDelay time.Duration) {
+	row := *j.row
+	if row.Epoch >= batch.MaxEpoch {
+		c.logDecision(j, "fail", "its epochs are used up")
+		row.State = batch.JobFailed
+		c.sendWrite(j, row, 0, false)
+		return
+	}
+	row.Owner = c.settings.Self
+	row.Epoch++
+	j.startDelay = startDelay
+	c.sendWrite(j, row, 0, false)
+}
+
 // answerCancels answers the requests to cancel a job that has ended.
 func (c *Core) answerCancels(j *job) {
 	kind := errkind.NotFound
@@ -100,7 +118,7 @@
 		c.handleInserted(j)
 	case before.Epoch != w.Row.Epoch:
 		c.logDecision(j, "taken over", "")
-		j.needsStart = true
+		j.needsStart, j.needsEpoch = true, false
 		c.startIfConfirmed(j)
 	}
 	c.handleRowChange(j)
@@ -150,7 +168,7 @@
 		j.running = false
 	}
 	if j.row.State.Ended() {
-		j.needsStart = false
+		j.needsStart, j.needsEpoch = false, false
 		c.answerCancels(j)
 	}
 	c.sendNextWrite(j)
--- /dev/null
+++ b/lab/emulator/owners_test.go
@@ -0,0 +1,62 @@
+package emulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"peridotpick.example/wire/runs"
+)
+
+// simulateOwnerChanges runs one schedule in which durable jobs of long tasks change their owner
+// twice or more and agents are frozen meanwhile, so that they report ends of a previous owner's runs
+// to a later one.
+func simulateOwnerChanges(seed uint64) *simulation {
+	sim := newSimulation(seed, testConfig())
+	sim.logsEvents = *oneSeed != 0
+	for n := range 8 {
+		j := testDurableJob(sim, fmt.Sprintf("d%015x", n), 1+sim.rand.IntN(3))
+		j.taskWork = func(runs.Key) (time.Duration, bool) {
+			return time.Duration(1000+sim.rand.IntN(4000)) * time.Millisecond, sim.rand.IntN(20) == 0
+		}
+		sim.schedule(time.Duration(sim.rand.Int64N(int64(2*time.Second))), func() { sim.submit(j) })
+	}
+	at := time.Second + time.Duration(sim.rand.Int64N(int64(2*time.Second)))
+	for range 2 + sim.rand.IntN(3) {
+		sim.schedule(at, func() { changeOwners(sim) })
+		at += time.Second + time.Duration(sim.rand.Int64N(int64(4*time.Second)))
+	}
+	sim.run(60 * time.Second)
+	return sim
+}
+
+// changeOwners freezes or cuts off some agents and kills all entries, which start again.
+func changeOwners(sim *simulation) {
+	for _, a := range sim.agents {
+		switch sim.rand.IntN(4) {
+		case 0:
+			a.suspend(time.Duration(500+sim.rand.IntN(5000)) * time.Millisecond)
+		case 1:
+			for l := range a.links.Values() {
+				l.dropsMessages = true
+			}
+		}
+	}
+	for _, e := range sim.entries {
+		if !e.dead {
+			e.kill(time.Duration(100+sim.rand.IntN(500)) * time.Millisecond)
+		}
+	}
+}
+
+// TestOwnerChangeSchedules guards against the end of a previous owner's run being taken for that of
+// the current run, after which the task ran twice at the same time.
+func TestOwnerChangeSchedules(t *testing.T) {
+	ended := 0
+	simulateSeeds(t, *seeds/3, simulateOwnerChanges, func(sim *simulation) {
+		if len(sim.checker.violations) == 0 {
+			ended += checkJobsEnded(sim)
+		}
+	})
+	t.Logf("%d durable jobs ended", ended)
+}
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -120,6 +120,9 @@
 	for _, name := range out.OwnershipExpired {
 		e.ledger.HandleOwnershipExpired(now, name)
 	}
+	for _, name := range out.OutOfNumbers {
+		e.ledger.HandleOutOfNumbers(now, name)
+	}
 	for _, r := range out.Records {
 		e.ledger.SaveRecord(now, r)
 	}
@@ -155,7 +158,7 @@
 	}
 	for _, o := range ledgerOut.Acquired {
 		e.core.RunDurable(now, &batch.DurableJob{
-			Job: o.Job, Queue: e.sim.jobs[o.Job].queue, Spec: o.Row.Spec, Steps: o.Row.Steps, Progress: o.Row.Progress, SafeAt: o.SafeAt,
+			Job: o.Job, Queue: e.sim.jobs[o.Job].queue, Spec: o.Row.Spec, Steps: o.Row.Steps, Epoch: o.Row.Epoch, Progress: o.Row.Progress, SafeAt: o.SafeAt,
 		})
 	}
 	for _, name := range ledgerOut.Ended {
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -182,6 +182,9 @@
 	for _, name := range out.OwnershipExpired {
 		d.ledger.HandleOwnershipExpired(now, name)
 	}
+	for _, name := range out.OutOfNumbers {
+		d.ledger.HandleOutOfNumbers(now, name)
+	}
 	for _, r := range out.Records {
 		d.ledger.SaveRecord(now, r)
 	}
@@ -304,7 +307,7 @@
 	}
 	e.core.RunDurable(now, &core.DurableJob{
 		Job: acquired.Job, Queue: config.QueueByName(acquired.Row.Queue), Version: config.Version, Spec: acquired.Row.Spec, Steps: acquired.Row.Steps,
-		Progress: acquired.Row.Progress, SafeAt: acquired.SafeAt,
+		Epoch: acquired.Row.Epoch, Progress: acquired.Row.Progress, SafeAt: acquired.SafeAt,
 	})
 }
 
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -41,7 +41,8 @@
 	// Task is the task's name, unique among all jobs: the job's name, a dot and the task's
 	// position in the job.
 	Task string `cbor:"1,keyasint"`
-	// Run is the number of the start; it rises with each start of the task.
+	// Run is the number of the start; it rises with each start of the task by one entry. Runs of a
+	// durable job have different numbers at all its owners, rising from each one to the next.
 	Run uint32 `cbor:"2,keyasint"`
 }
 
