--- a/core/batch/backlog.go
+++ b/core/batch/backlog.go
@@ -22,11 +22,18 @@
 	priorityStepWait = 2 * time.Second
 )
 
-// canStart reports whether tasks of a job may be started now. Tasks of a durable job need a
-// confirmed ownership, and the runs of a previous owner must be over.
+// canStart reports whether tasks of a durable job may be started now. Its ownership must be
+// confirmed, the runs of previous owners must be over, and it must be stored that this owner starts
+// tasks; see recordStart.
 func (c *Core) canStart(j *job) bool {
 	d := j.durable
-	return d == nil || c.now.Before(c.ownershipUntil) && !c.now.Before(d.safeAt)
+	return c.isSafe(d) && !d.needsStartRecord() && d.startRecord <= d.storedSeq
+}
+
+// isSafe reports whether the ownership of a durable job is confirmed and the runs of previous owners
+// are over.
+func (c *Core) isSafe(d *durable) bool {
+	return c.now.Before(c.ownershipUntil) && !c.now.Before(d.safeAt)
 }
 
 // placeDurable starts the tasks of a durable job that are expected to get resources soon. It
@@ -58,7 +65,13 @@
 	c.backlogScans++
 	var waiting []waitingJob
 	for j := range c.jobs.Values() {
-		if j.durable != nil && !j.ended && c.canStart(j) && j.hasWaitingTask() {
+		if j.durable == nil || j.ended || !c.isSafe(j.durable) || !j.hasWaitingTask() {
+			continue
+		}
+		if j.durable.needsStartRecord() {
+			c.recordStart(j)
+		}
+		if c.canStart(j) {
 			waiting = append(waiting, waitingJob{job: j, usefulness: c.usefulnessOf(j), virtualDeadline: j.virtualDeadline()})
 		}
 	}
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -17,12 +17,13 @@
 	Steps   []Step
 	// Epoch is the epoch of this owner, from 1. The entry must not have run the job under it before.
 	Epoch uint64
+	// StartedEpoch is the newest stored Record.StartedEpoch.
+	StartedEpoch uint64
 	// Progress is the stored progress of its tasks.
 	Progress []TaskProgress
 	// SafeAt is when all runs that a previous owner may have started are over, and it starts no
-	// more. Nothing is started before, but ends are accepted: a previous owner must store that a
-	// run is abandoned before it starts the task again, which it can no longer do. Zero for a new
-	// job.
+	// more. Nothing is started before, but ends are accepted: a previous owner must store that they
+	// no longer count before it starts a task again, which it can no longer do. Zero for a new job.
 	SafeAt time.Time
 }
 
@@ -49,6 +50,10 @@
 	safeAt time.Time
 	// outOfNumbers is set once a task has used the last run number of the epoch.
 	outOfNumbers bool
+	// startedEpoch is the value for Record.StartedEpoch, and startRecord the number of the record that
+	// must be stored before any task is started; 0 if there is none.
+	startedEpoch uint64
+	startRecord  uint64
 	// seq is the number of the newest record emitted, storedSeq that of the newest record in the
 	// store.
 	seq, storedSeq uint64
@@ -105,7 +110,7 @@
 	}
 	j := c.newJob(&Request{Job: d.Job, Queue: d.Queue, Version: d.Version, Spec: d.Spec, Steps: d.Steps})
 	j.requests = nil
-	j.durable = &durable{epoch: d.Epoch, safeAt: d.SafeAt}
+	j.durable = &durable{epoch: d.Epoch, startedEpoch: d.StartedEpoch, safeAt: d.SafeAt}
 	if now.Before(d.SafeAt) {
 		// The previous owner has been lost for about as long as remains until SafeAt.
 		j.arrived = now.Add(now.Sub(d.SafeAt))
--- a/core/batch/durable_test.go
+++ b/core/batch/durable_test.go
@@ -102,13 +102,21 @@
 	// Ends are accepted at once, but nothing starts.
 	out := h.reportHeldEnd(after(500), 0, 1, 0, 3, runs.OutcomeDone)
 	h.is.Equal(len(startsByLink(out)[0]), 0)
-	var starts []runs.Start
-	for ms := 550; ms <= 1100; ms += 50 {
+	// Nothing starts before it is stored that this owner starts tasks.
+	var records []Record
+	for ms := 550; ms <= 1500; ms += 50 {
 		h.Tick(after(ms))
-		some := startsByLink(h.flush(after(ms)))[0]
-		h.is.True(len(some) == 0 || ms >= 1000)
-		starts = append(starts, some...)
+		out = h.flush(after(ms))
+		h.is.Equal(len(startsByLink(out)[0]), 0)
+		for _, r := range out.Records {
+			h.is.True(r.StartedEpoch == 0 || ms >= 1000)
+			records = append(records, r)
+		}
 	}
+	last := records[len(records)-1]
+	h.is.Equal(last.StartedEpoch, uint64(2))
+	h.RecordStored(after(1510), jobName(1), last.Seq)
+	starts := startsByLink(h.flush(after(1510)))[0]
 	h.is.Equal(len(starts), 1)
 	h.is.Equal(starts[0].Key.Task, TaskName(jobName(1), 0, 1))
 	h.is.True(starts[0].Key.Run > maxRunsInEpoch) // the previous owner's run numbers are not known
@@ -151,6 +159,25 @@
 	h.is.Equal(len(void), 1)
 }
 
+// TestEndOfAnEarlierEpochIsVoidOnceALaterOwnerHasStarted guards against a task that counts as done by
+// a run of the first owner although the second one has started it again.
+func TestEndOfAnEarlierEpochIsVoidOnceALaterOwnerHasStarted(t *testing.T) {
+	second := newHarness(t, 1)
+	second.own(begin, 1, 1, func(d *DurableJob) { d.Epoch = 2 })
+	starts, records := second.storeRecords(after(10))
+	second.is.Equal(len(starts), 1)
+	stored := records[len(records)-1]
+
+	third := newHarness(t, 1)
+	third.own(begin, 1, 1, func(d *DurableJob) {
+		d.Epoch, d.SafeAt, d.StartedEpoch, d.Progress = 3, after(1000), stored.StartedEpoch, stored.Progress
+	})
+	_, void := ackedAndVoidKeys(third.reportHeldEnd(after(500), 0, 1, 0, 1, runs.OutcomeDone))
+	third.is.Equal(len(void), 1)
+	third.reportHeldEnd(after(510), 0, 1, 0, starts[0].Key.Run, runs.OutcomeDone)
+	third.is.Equal(third.jobs.Get(jobName(1)).openTasks, 0) // the second owner's run counts
+}
+
 func TestJobIsDisownedWhenItsOwnershipIsNotConfirmed(t *testing.T) {
 	h := newHarness(t, 1)
 	starts := startsByLink(h.own(begin, 1, 1, nil))[0]
--- a/core/batch/numbers_test.go
+++ b/core/batch/numbers_test.go
@@ -13,7 +13,32 @@
 // epoch and stored progress.
 func firstStart(t *testing.T, epoch uint64, progress ...TaskProgress) runs.Start {
 	h := newHarness(t, 1)
-	return startsByLink(h.own(begin, 1, 1, func(d *DurableJob) { d.Epoch, d.Progress = epoch, progress }))[0][0]
+	starts := startsByLink(h.own(begin, 1, 1, func(d *DurableJob) { d.Epoch, d.Progress = epoch, progress }))[0]
+	if len(starts) == 0 {
+		starts, _ = h.storeRecords(after(10))
+	}
+	return starts[0]
+}
+
+// storeRecords stores the next records as soon as they are emitted, until the first starts. It
+// returns these and the records.
+func (h *harness) storeRecords(now time.Time) ([]runs.Start, []Record) {
+	var records []Record
+	for ms := 0; ms <= 250; ms += 10 {
+		at := now.Add(time.Duration(ms) * time.Millisecond)
+		h.Tick(at)
+		out := h.flush(at)
+		for _, r := range out.Records {
+			h.RecordStored(at, r.Job, r.Seq)
+		}
+		records = append(records, out.Records...)
+		for _, starts := range startsByLink(out) {
+			if len(starts) > 0 {
+				return starts, records
+			}
+		}
+	}
+	return nil, records
 }
 
 // TestOwnersNumberRunsApart guards against two owners in a row that give runs of a task the same
@@ -40,9 +65,10 @@
 func TestNumbersOfAnEpochStayBelowTheNext(t *testing.T) {
 	h := newHarness(t, 1)
 	last := runsBefore(3)
-	starts := startsByLink(h.own(begin, 1, 1, func(d *DurableJob) {
+	h.own(begin, 1, 1, func(d *DurableJob) {
 		d.Epoch, d.Progress = 2, []TaskProgress{{Run: last - 2}}
-	}))[0]
+	})
+	starts, _ := h.storeRecords(after(10))
 	h.is.Equal(starts[0].Key.Run, last-1)
 	out := h.reportHeldEnd(after(50), 0, 1, 0, last-1, runs.OutcomeFailed)
 	h.is.Equal(out.OutOfNumbers, []string{jobName(1)})
@@ -57,6 +83,7 @@
 	previous := firstStart(t, 2)
 	h := newHarness(t, 2)
 	h.own(begin, 1, 1, func(d *DurableJob) { d.Epoch = 3 })
+	h.storeRecords(after(10))
 	task := h.byTask[previous.Key.Task]
 	h.is.Equal(task.state, taskPlaced)
 	h.Receive(after(500), LinkID(1-int(task.link)), &runs.ToEntry{
@@ -77,7 +104,8 @@
 	h.Tick(after(5100))
 	h.is.Equal(h.flush(after(5100)).OwnershipExpired, []string{jobName(1)})
 	h.own(after(5200), 1, 1, func(d *DurableJob) { d.Epoch = 2 })
-	second := startsByLink(h.reportHeldEnd(after(5300), 0, 1, 0, first.Key.Run, runs.OutcomeStopped))[0]
+	h.reportHeldEnd(after(5300), 0, 1, 0, first.Key.Run, runs.OutcomeStopped)
+	second, _ := h.storeRecords(after(5310))
 	h.is.Equal(len(second), 1)
 	h.is.True(second[0].Key.Run > maxRunsInEpoch)
 }
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -32,9 +32,12 @@
 type Record struct {
 	Job string
 	// Seq numbers the records of the job.
-	Seq      uint64
-	State    JobState
-	Progress []TaskProgress
+	Seq   uint64
+	State JobState
+	// StartedEpoch is the newest epoch whose owner may have started tasks; 0 if only the first one
+	// has. Ends of runs of earlier epochs no longer count.
+	StartedEpoch uint64
+	Progress     []TaskProgress
 }
 
 // UnownedEnd is a held end of a job that is not here. The owner of the list of durable jobs decides
@@ -134,7 +137,7 @@
 				d.pendingAcks[i].seq = d.seq
 			}
 		}
-		c.out.Records = append(c.out.Records, Record{Job: name, Seq: d.seq, State: d.state, Progress: j.progress()})
+		c.out.Records = append(c.out.Records, Record{Job: name, Seq: d.seq, State: d.state, StartedEpoch: d.startedEpoch, Progress: j.progress()})
 	}
 }
 
@@ -221,7 +224,7 @@
 	current := t.state == taskPlaced && t.run == end.Key.Run
 	// The task has no later run. The end belongs to a run whose outcome was unknown, or that a
 	// previous owner started.
-	hasNoLaterRun := t.state == taskWaiting && end.Key.Run >= t.run && end.Key.Run > t.abandonedRun
+	hasNoLaterRun := t.state == taskWaiting && end.Key.Run >= t.run && end.Key.Run > max(t.abandonedRun, runsBefore(d.startedEpoch))
 	switch {
 	case t.handledRuns[end.Key.Run]:
 		if !d.isAckPending(end.Key) && !d.disowned {
@@ -265,6 +268,21 @@
 	c.scheduleRecord(t.job, 0)
 }
 
+// needsStartRecord reports whether it is still to be recorded that this owner starts tasks. The first
+// owner has no predecessors and needs no record.
+func (d *durable) needsStartRecord() bool { return d.epoch > max(d.startedEpoch, 1) }
+
+// recordStart records that this owner starts tasks, so that the ends of its predecessors' runs no
+// longer count. No task starts before the record is stored. Otherwise, if this entry lost the job,
+// the next owner would accept the end of a predecessor's run that this entry has not heard of,
+// although the task was started again.
+func (c *Core) recordStart(j *job) {
+	d := j.durable
+	d.startedEpoch = d.epoch
+	d.startRecord = d.seq + 1 // the next record
+	c.scheduleRecord(j, 0)
+}
+
 // isBlocked reports whether a task waits for a record to be stored.
 func (t *task) isBlocked() bool {
 	return t.job.durable != nil && t.blockingRecord > t.job.durable.storedSeq
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -25,6 +25,9 @@
 	Steps []batch.Step `cbor:"8,keyasint,omitempty"`
 	// Progress tells, once the job has ended, which run completed each task.
 	Progress []batch.TaskProgress `cbor:"9,keyasint,omitempty"`
+	// StartedEpoch is the newest epoch whose owner may have started tasks; 0 if only the first
+	// one has. Ends of runs of earlier epochs no longer count.
+	StartedEpoch uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Encode returns the CBOR encoding of r, as it is stored.
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -38,6 +38,7 @@
 		c.acquire(j, c.settings.RunExpiry)
 	case j.pendingRecord != nil && c.isOwned(j):
 		row.State = j.pendingRecord.State
+		row.StartedEpoch = j.pendingRecord.StartedEpoch
 		row.Progress = j.pendingRecord.Progress
 		c.sendWrite(j, row, j.pendingRecord.Seq, false)
 		j.pendingRecord = nil
@@ -189,8 +190,8 @@
 	if !c.isOwned(j) {
 		j.startDelay = 0 // the delay belongs to a takeover that another entry's write has forestalled
 	}
-	if w.seq > 0 && j.pendingRecord == nil && w.Row.Owner == current.Row.Owner && !current.Row.State.Ended() {
-		j.pendingRecord = &batch.Record{Job: j.name, Seq: w.seq, State: w.Row.State, Progress: w.Row.Progress}
+	if w.Row.Owner == current.Row.Owner && !current.Row.State.Ended() {
+		j.repeatRecord(w)
 	}
 	if current.Version > j.version {
 		j.row = current.Row
@@ -212,7 +213,14 @@
 		c.removeJob(j)
 		return
 	}
-	if w.seq > 0 && j.pendingRecord == nil {
-		j.pendingRecord = &batch.Record{Job: j.name, Seq: w.seq, State: w.Row.State, Progress: w.Row.Progress}
+	j.repeatRecord(w)
+}
+
+// repeatRecord has the record of a write that was not carried out written again, unless there is a
+// newer one.
+func (j *job) repeatRecord(w Write) {
+	if w.seq == 0 || j.pendingRecord != nil {
+		return
 	}
+	j.pendingRecord = &batch.Record{Job: j.name, Seq: w.seq, State: w.Row.State, StartedEpoch: w.Row.StartedEpoch, Progress: w.Row.Progress}
 }
--- a/lab/emulator/agent.go
+++ b/lab/emulator/agent.go
@@ -69,6 +69,8 @@
 	drained []string
 	// drainsQueriedAt is when the agent last queried the store for the drained data centres.
 	drainsQueriedAt time.Time
+	// cutUntil is, by the address of an entry, until when the agent cannot open a link to it.
+	cutUntil map[string]time.Time
 	// disconnectedAt is the last time at which the agent did not run or had no source for drains.
 	disconnectedAt time.Time
 }
@@ -88,7 +90,7 @@
 
 func newAgentProcess(sim *simulation, w *worker) *agentProcess {
 	chosen := sim.config.chosenEntries(w, nil)
-	a := &agentProcess{process: process{sim: sim}, worker: w, linkedEntries: chosen, chosen: chosen}
+	a := &agentProcess{process: process{sim: sim}, worker: w, linkedEntries: chosen, chosen: chosen, cutUntil: make(map[string]time.Time)}
 	a.start()
 	return a
 }
@@ -112,6 +114,21 @@
 	}
 }
 
+// cutFrom cuts the agent off from an entry for a time. Open links lose all messages from then on.
+func (a *agentProcess) cutFrom(e *entryProcess, d time.Duration) {
+	a.cutUntil[e.address] = a.sim.now.Add(d)
+	for l := range a.links.Values() {
+		if l.entry == e {
+			l.dropsMessages = true
+		}
+	}
+}
+
+// isCutFrom reports whether the agent is cut off from an entry.
+func (a *agentProcess) isCutFrom(e *entryProcess) bool {
+	return a.sim.now.Before(a.cutUntil[e.address])
+}
+
 func (a *agentProcess) scheduleTick() {
 	a.deliver(tickInterval, func() {
 		a.core.Tick(a.sim.now)
--- a/lab/emulator/links.go
+++ b/lab/emulator/links.go
@@ -11,7 +11,7 @@
 // connect opens a link from an agent to an entry, and opens it again whenever it has closed or is
 // silent.
 func (sim *simulation) connect(a *agentProcess, e *entryProcess) {
-	if a.dead || e.dead {
+	if a.dead || e.dead || a.isCutFrom(e) {
 		sim.schedule(linkRetryDelay, func() { sim.reconnect(a, e) })
 		return
 	}
--- a/lab/emulator/owners_test.go
+++ b/lab/emulator/owners_test.go
@@ -60,3 +60,54 @@
 	})
 	t.Logf("%d durable jobs ended", ended)
 }
+
+// simulateOwnersBehindCuts runs one schedule in which durable jobs change their owner while agents
+// are cut off from single entries, so that an owner does not hear of ends that the next one hears
+// of. Awaited jobs keep the leases of the workers alive.
+func simulateOwnersBehindCuts(seed uint64) *simulation {
+	config := testConfig()
+	config.dataCentres[0].entries = 3
+	sim := newSimulation(seed, config)
+	sim.logsEvents = *oneSeed != 0
+	for n := range 12 {
+		j := testDurableJob(sim, fmt.Sprintf("d%015x", n), 1+sim.rand.IntN(3))
+		j.taskWork = func(runs.Key) (time.Duration, bool) {
+			return time.Duration(200+sim.rand.IntN(1500)) * time.Millisecond, sim.rand.IntN(20) == 0
+		}
+		sim.schedule(time.Duration(sim.rand.Int64N(int64(6*time.Second))), func() { sim.submit(j) })
+	}
+	for n := range 300 {
+		sim.schedule(time.Duration(sim.rand.Int64N(int64(20*time.Second))), func() { sim.submit(testJob(sim, fmt.Sprintf("%016x", n), 2, 1)) })
+	}
+	for range 3 + sim.rand.IntN(5) {
+		at := time.Second + time.Duration(sim.rand.Int64N(int64(8*time.Second)))
+		sim.schedule(at, func() { cutAndKillOneEntry(sim) })
+	}
+	sim.run(40 * time.Second)
+	return sim
+}
+
+// cutAndKillOneEntry cuts some agents off from one entry for a time, and kills one.
+func cutAndKillOneEntry(sim *simulation) {
+	for _, a := range sim.agents {
+		if sim.rand.IntN(2) == 0 {
+			a.cutFrom(sim.entries[sim.rand.IntN(len(sim.entries))], time.Duration(500+sim.rand.IntN(6000))*time.Millisecond)
+		}
+	}
+	e := sim.entries[sim.rand.IntN(len(sim.entries))]
+	if !e.dead {
+		e.kill(time.Duration(100+sim.rand.IntN(500)) * time.Millisecond)
+	}
+}
+
+// TestOwnersBehindCutsSchedules guards against an end that a later owner accepts although a previous
+// one, which had not heard of it, has started the task again.
+func TestOwnersBehindCutsSchedules(t *testing.T) {
+	ended := 0
+	simulateSeeds(t, *seeds/3, simulateOwnersBehindCuts, func(sim *simulation) {
+		if len(sim.checker.violations) == 0 {
+			ended += checkJobsEnded(sim)
+		}
+	})
+	t.Logf("%d durable jobs ended", ended)
+}
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -307,7 +307,7 @@
 	}
 	e.core.RunDurable(now, &core.DurableJob{
 		Job: acquired.Job, Queue: config.QueueByName(acquired.Row.Queue), Version: config.Version, Spec: acquired.Row.Spec, Steps: acquired.Row.Steps,
-		Epoch: acquired.Row.Epoch, Progress: acquired.Row.Progress, SafeAt: acquired.SafeAt,
+		Epoch: acquired.Row.Epoch, StartedEpoch: acquired.Row.StartedEpoch, Progress: acquired.Row.Progress, SafeAt: acquired.SafeAt,
 	})
 }
 
