core/ledger: the record of an interrupted job is not written in its next life

Records are numbered from 1 in each life of a job at one entry, so that the answer to one of a former life counted for one of the present life, and ends could be acknowledged that were not stored.

Change: a record that was not carried out is dropped if its job was interrupted since.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -215,6 +215,48 @@
 	is.Equal(out.Acquired[0].SafeAt, after(6010).Add(time.Second))
 }
 
+// TestRecordOfAnInterruptedJobIsNotCountedLater guards against the answer to a record of a job from
+// before it was interrupted that counts for a record, with the same number, from after it.
+func TestRecordOfAnInterruptedJobIsNotCountedLater(t *testing.T) {
+	results := map[string]WriteResult{
+		"applied":  {Status: Applied, Version: 8},
+		"rejected": {Status: Rejected},
+	}
+	for name, result := range results {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCoreOwning("j")
+			c.SaveRecord(after(10), batch.Record{Job: "j", Seq: 1, State: batch.JobRunning})
+			w := c.Flush().Writes[0]
+			c.HandleOwnershipExpired(after(5000), "j")
+			c.ApplyChanges(after(6000), nil, after(5990))
+			out := c.Flush()
+			is.Equal(len(out.Acquired)+len(out.Writes), 0) // the record is still being written
+			c.HandleWriteResult(after(6010), w, result)
+			w = nextWrite(t, c, after(6300))
+			is.Equal(w.Row.Epoch, uint64(2))
+			c.HandleWriteResult(after(6310), w, WriteResult{Status: Applied, Version: 9})
+			out = c.Flush()
+			is.Equal(len(out.Acquired), 1)
+			is.Equal(len(out.StoredRecords)+len(out.Writes), 0)
+		})
+	}
+}
+
+// nextWrite returns the next write, which is due at the given time at the latest.
+func nextWrite(t *testing.T, c *Core, until time.Time) Write {
+	t.Helper()
+	if writes := c.Flush().Writes; len(writes) > 0 {
+		return writes[0]
+	}
+	c.Tick(until)
+	writes := c.Flush().Writes
+	if len(writes) == 0 {
+		t.Fatal("no write is due")
+	}
+	return writes[0]
+}
+
 // TestInterruptedJobIsLeftToItsNextOwner guards against an entry that starts an interrupted job again
 // although another entry has taken it over.
 func TestInterruptedJobIsLeftToItsNextOwner(t *testing.T) {
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -217,9 +217,9 @@
 }
 
 // repeatRecord has the record of a write that was not carried out written again, unless there is a
-// newer one.
+// newer one or the job was interrupted since: its records are numbered anew then.
 func (j *job) repeatRecord(w Write) {
-	if w.seq == 0 || j.pendingRecord != nil {
+	if w.seq == 0 || j.pendingRecord != nil || !j.running {
 		return
 	}
 	j.pendingRecord = &batch.Record{Job: j.name, Seq: w.seq, State: w.Row.State, StartedEpoch: w.Row.StartedEpoch, Progress: w.Row.Progress}
