--- a/core/runner/capacity.go
+++ b/core/runner/capacity.go
@@ -36,6 +36,5 @@
 	}
 	c.worker.unannounced = true
 	c.refuseWaiting(runs.ReasonNoWorker)
-	c.sendWorkerToAll()
 	c.out.Decisions = append(c.out.Decisions, Decision{Event: "suspended", Age: gap, Worker: c.worker.info.Incarnation()})
 }
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -116,6 +116,8 @@
 	// loadOutdated is set while the last load sent on the link differs from the present one.
 	loadOutdated bool
 	lastSent     time.Time
+	// described is the description of the worker that was sent last.
+	described described
 	// releasedAt is when the link was released; zero while it is in use. See Release.
 	releasedAt time.Time
 	// onDemand is set if the link exists only because its entry is short of agents.
@@ -126,6 +128,10 @@
 type Core struct {
 	settings Settings
 	worker   workerState
+	// description describes the worker to entries, without what differs between links. Its ID is
+	// empty while the worker may be given nothing. descriptionVersion rises with each change of it.
+	description        runs.Worker
+	descriptionVersion uint64
 	// retired are the worker's incarnations that are known to be over.
 	retired retiredIncarnations
 	links   ordered.Map[LinkID, *link]
@@ -174,6 +180,7 @@
 	c.now = now
 	c.startWaiting()
 	c.sharedLoad = nil
+	c.updateDescription()
 	for l := range c.links.Values() {
 		c.flushLink(l)
 	}
@@ -185,6 +192,7 @@
 
 func (c *Core) flushLink(l *link) {
 	l.loadOutdated = l.loadOutdated || c.loadChanged
+	c.describeWorker(l)
 	if !c.messageDue(l) {
 		return
 	}
@@ -243,7 +251,6 @@
 	c.endPreviousIncarnation(entry)
 	l := &link{id: id, entry: entry}
 	c.links.Put(id, l)
-	c.sendWorker(l)
 	c.resendHeldEnds(l)
 }
 
@@ -373,7 +380,6 @@
 	c.now = now
 	c.draining = true
 	c.refuseWaiting(runs.ReasonDraining)
-	c.sendWorkerToAll()
 }
 
 // RunCount returns the number of runs, including waiting ones.
--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -96,7 +96,6 @@
 	h.void = true
 	c.logHeldEnd("lease left to end", h)
 	c.refuseWaiting(runs.ReasonNoWorker)
-	c.sendWorkerToAll()
 }
 
 // maxHeldEnds is the greatest number of held ends. A worker lists 500 ends and hides later ones,
@@ -135,7 +134,6 @@
 			c.held.Delete(number)
 		}
 	}
-	c.sendWorkerToAll()
 }
 
 // logHeldEnd records a decision about a held end for the log.
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -147,7 +147,6 @@
 func (c *Core) handleFenced() {
 	c.worker.synced = false
 	c.raiseToken(c.worker.clockLowerBound(c.now))
-	c.sendWorkerToAll()
 }
 
 // raiseToken raises the token above one that the worker has refused, to least or more. The steps
@@ -300,7 +299,6 @@
 		c.assumeMaxLease(listing)
 		c.worker.synced = true
 		c.worker.syncedAt = now
-		c.sendWorkerToAll()
 		c.reconcile()
 	}
 }
--- a/core/runner/release.go
+++ b/core/runner/release.go
@@ -24,7 +24,6 @@
 	l.releasedAt = now
 	c.reportDropped(c.reservations.DropLink(uint64(id)))
 	c.loadChanged = true // fewer entries share the worker
-	c.sendWorker(l)
 }
 
 // Retain takes a released link back into use.
@@ -36,7 +35,6 @@
 	}
 	l.releasedAt = time.Time{}
 	c.loadChanged = true
-	c.sendWorker(l)
 }
 
 // SetOnDemand records whether a link exists only because its entry is short of agents.
@@ -47,7 +45,6 @@
 		return
 	}
 	l.onDemand = onDemand
-	c.sendWorker(l)
 }
 
 // closeReleased closes released links whose entries have no runs here.
--- a/core/runner/restart.go
+++ b/core/runner/restart.go
@@ -103,7 +103,6 @@
 		r.lossReason = reason
 	}
 	c.logRestart("worker restarted", previous.info.Incarnation())
-	c.sendWorkerToAll()
 }
 
 // handleInFlightAnswer handles the answer to a start that was in flight when the worker was lost.
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -109,7 +109,6 @@
 			c.refuseWaiting(runs.ReasonDraining)
 		}
 		c.refuseUnfitting()
-		c.sendWorkerToAll()
 	}
 	return true
 }
@@ -134,7 +133,6 @@
 	}
 	c.worker.readClock(c.now, clock)
 	c.speed = speedStats{}
-	c.sendWorkerToAll()
 }
 
 // previousLeaseFactor is the longest lease that a previous agent process may have requested, as a
@@ -173,7 +171,6 @@
 	c.resolveExpiredEnds(c.currentLossReason() == runs.ReasonWorkerCrashed)
 	c.finishAll(c.currentLossReason())
 	c.worker = workerState{info: runs.Worker{Agent: c.settings.Agent}}
-	c.sendWorkerToAll()
 }
 
 // finishAll finishes all runs, which are no longer at the worker. A start that is in flight may
@@ -210,7 +207,6 @@
 	c.worker.leavingSince = now
 	c.worker.synced = false
 	c.refuseWaiting(runs.ReasonNoWorker)
-	c.sendWorkerToAll()
 }
 
 // stopGrace is how long a worker may take to end its runs.
@@ -237,18 +233,11 @@
 	c.worker.unansweredPolls++
 	if c.worker.unansweredPolls == unansweredPollLimit {
 		c.refuseWaiting(runs.ReasonNoWorker)
-		c.sendWorkerToAll()
 	}
 }
 
 // resetUnanswered handles that the worker has answered a poll.
-func (c *Core) resetUnanswered() {
-	wasUnreachable := c.isUnreachable()
-	c.worker.unansweredPolls = 0
-	if wasUnreachable {
-		c.sendWorkerToAll()
-	}
-}
+func (c *Core) resetUnanswered() { c.worker.unansweredPolls = 0 }
 
 // expireWorkerLease finishes all runs once their lease has certainly expired on the worker's
 // clock. The worker must be polled again before it gets new work.
@@ -264,29 +253,6 @@
 	c.markSuspect()
 	c.keepExpiredEnds()
 	c.finishAll(runs.ReasonLeaseExpired)
-	c.sendWorkerToAll()
-}
-
-// sendWorkerToAll sends the worker's description to all entries.
-func (c *Core) sendWorkerToAll() {
-	c.loadChanged = true
-	for l := range c.links.Values() {
-		c.sendWorker(l)
-	}
-}
-
-// sendWorker adds the worker's description to a link's next message. The description has no ID
-// while the worker may be given nothing.
-func (c *Core) sendWorker(l *link) {
-	info := c.worker.info
-	info.Draining = info.Draining || c.draining
-	info.Released, info.OnDemand = l.isReleased(), l.onDemand
-	info.TakesReservations = true
-	if !c.worker.synced || c.isUnavailable() {
-		info.ID = ""
-	}
-	l.out.Worker = &info
-	l.dirty = true
 }
 
 // reconcile handles the pending lists of owned runs, once it is known what runs at the worker.
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -30,6 +30,7 @@
 package runs
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -93,6 +94,13 @@
 	Born int64
 }
 
+// Equal reports whether w and other are the same description.
+func (w *Worker) Equal(other *Worker) bool {
+	return w.Incarnation() == other.Incarnation() && w.Agent == other.Agent && w.Service == other.Service && w.DataCentre == other.DataCentre &&
+		slices.Equal(w.Labels, other.Labels) && w.Capacity == other.Capacity && w.Draining == other.Draining && w.Released == other.Released &&
+		w.OnDemand == other.OnDemand && w.TakesReservations == other.TakesReservations
+}
+
 // Incarnation returns the incarnation that w describes.
 func (w Worker) Incarnation() Incarnation { return Incarnation{ID: w.ID, Born: w.Born} }
 
