core/ledger: an owned job is run or waits for its queue (LOST)

What callers saw: accepted durable jobs stayed as they were for good, with nothing running and all processes alive.

Cause: the ledger handed a job out once and took it for running from then on. The service dropped it if there was no configuration yet, or if that left the queue out, and nothing tried again.

The ownership could not expire either, as the core did not know the job; no other entry took it, as its owner was alive.

Change: the ledger has the configuration and hands a job out with its queue. One without stays to be started, with a reason that is logged and counted, and the next configuration that has the queue starts it. Jobs whose queue an entry does not have are not taken over by it.

Not done: an owner that lacks the queue does not hand the job over to one that has it, as it cannot know of one.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -18,6 +18,8 @@
 //     refused and certainly not stored. While the result of the write is unknown, the job is
 //     neither accepted nor refused.
 //   - While the changes cannot be read, a job that is unknown here may still exist.
+//   - An owned job whose queue is not configured here waits until it is. Jobs of such queues are not
+//     taken over, since another entry may have a newer configuration.
 //
 // The package is deterministic: events and the current time are its input, an Output is its result.
 package ledger
@@ -28,6 +30,7 @@
 
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/core/batch"
+	"peridotpick.example/core/catalog"
 	"peridotpick.example/wire/runs"
 )
 
@@ -61,6 +64,9 @@
 type Acquisition struct {
 	Job string
 	Row *Row
+	// Queue is the configuration of the job's queue, Version that of the configuration in force.
+	Queue   *catalog.Queue
+	Version uint64
 	// SafeAt is when all runs that the previous owner, or this entry before it lost its
 	// confirmation, may have started have certainly ended; zero if there are none.
 	SafeAt time.Time
@@ -119,6 +125,9 @@
 	// interrupted, may still go on.
 	needsStart bool
 	startDelay time.Duration
+	// waitReason is why it was not handed over yet although ownership is confirmed; empty if it was
+	// or if that was not tried.
+	waitReason string
 	// needsEpoch is set while this entry owns the job but has run it under the present epoch before.
 	needsEpoch bool
 	// running is set while the entry's core runs the job.
@@ -139,7 +148,9 @@
 	jobs     map[string]*job
 	// active holds the jobs that have not ended.
 	active map[string]*job
-	peers  map[string]peer
+	// catalog is the configuration in force; nil if there is none yet.
+	catalog *catalog.Catalog
+	peers   map[string]peer
 	// unknownSince has, for each job that was asked for and is not known here, the time of the
 	// first question.
 	unknownSince map[string]time.Time
@@ -181,6 +192,37 @@
 	return n
 }
 
+// WaitingJobs returns the number of jobs owned by this entry that wait for their queue to be configured.
+func (c *Core) WaitingJobs() int {
+	n := 0
+	for _, j := range c.active {
+		if c.isOwned(j) && j.waitReason != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// SetCatalog puts a configuration in force. It starts the jobs that have waited for their queue.
+func (c *Core) SetCatalog(now time.Time, config *catalog.Catalog) {
+	c.now = now
+	c.catalog = config
+	for _, name := range sortedNames(c.active) {
+		c.startIfConfirmed(c.active[name])
+	}
+}
+
+// queueOf returns the configuration of a job's queue, or nil and the reason why there is none.
+func (c *Core) queueOf(j *job) (*catalog.Queue, string) {
+	if c.catalog == nil {
+		return nil, "no configuration"
+	}
+	if q := c.catalog.QueueByName(j.row.Queue); q != nil {
+		return q, ""
+	}
+	return nil, "its queue is not configured"
+}
+
 // IsEmpty reports whether all rows were read and there is no durable job.
 func (c *Core) IsEmpty() bool { return c.loaded && len(c.jobs) == 0 }
 
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -8,6 +8,7 @@
 
 	"peridotpick.example/common/errkind"
 	"peridotpick.example/core/batch"
+	"peridotpick.example/core/catalog"
 	"peridotpick.example/wire/runs"
 )
 
@@ -25,10 +26,20 @@
 	}, start)
 }
 
-// newLoadedCore returns a core that has read the given rows and whose ownership is confirmed at
-// start.
+// config is a configuration with the given queues.
+func config(version uint64, queues ...string) *catalog.Catalog {
+	var list []catalog.Queue
+	for _, name := range queues {
+		list = append(list, catalog.Queue{Name: name, Host: "h", Prefix: "/" + name})
+	}
+	return catalog.New(version, catalog.Limits{}, list)
+}
+
+// newLoadedCore returns a core that has a configuration, has read the given rows and whose ownership
+// is confirmed at start.
 func newLoadedCore(rows ...StoredRow) *Core {
 	c := newCore()
+	c.SetCatalog(start, config(1, "q"))
 	c.LoadRows(start, rows, start)
 	c.Flush()
 	return c
@@ -305,6 +316,40 @@
 	is.Equal(len(c.Flush().Acquired), 0)
 }
 
+// TestJobWaitsForItsQueue guards against an accepted job that its owner never runs, since it got the
+// job before the configuration, or while one left the job's queue out.
+func TestJobWaitsForItsQueue(t *testing.T) {
+	for _, missing := range []*catalog.Catalog{nil, config(1), config(1, "other")} {
+		is := is.New(t)
+		c := newCore()
+		row := rowOfPeer("j", 4)
+		row.Row.Owner = runs.Entry{Address: self.Address, Incarnation: 9} // this entry's previous process
+		c.LoadRows(start, []StoredRow{row}, start)
+		if missing != nil {
+			c.SetCatalog(start, missing)
+		}
+		c.Tick(after(1000))
+		is.Equal(len(c.Flush().Writes), 0) // left to entries that have the queue
+		c.SetCatalog(after(1500), config(2, "q"))
+		c.Tick(after(2000))
+		w := c.Flush().Writes[0]
+		c.SetCatalog(after(2010), config(3)) // the queue is gone before the takeover is stored
+		c.HandleWriteResult(after(2020), w, WriteResult{Status: Applied, Version: 8})
+		out := c.Flush()
+		is.Equal(len(out.Acquired), 0)
+		is.Equal(out.Decisions[len(out.Decisions)-1].Event, "wait")
+		is.Equal(c.WaitingJobs(), 1)
+		c.ApplyChanges(after(2100), nil, after(2090))
+		is.Equal(len(c.Flush().Decisions), 0) // logged once
+		c.SetCatalog(after(3000), config(4, "q"))
+		out = c.Flush()
+		is.Equal(len(out.Acquired), 1)
+		is.Equal(out.Acquired[0].Version, uint64(4))
+		is.Equal(out.Acquired[0].SafeAt, after(3000).Add(time.Second))
+		is.Equal(c.WaitingJobs(), 0)
+	}
+}
+
 func TestUnknownJobIsResolvedByAPollSentAfterTheQuestion(t *testing.T) {
 	is := is.New(t)
 	c := newLoadedCore()
--- a/lab/emulator/callers.go
+++ b/lab/emulator/callers.go
@@ -170,6 +170,7 @@
 // submitDurable submits a durable job. Without an answer it is submitted again, to the entry that
 // nextEntry returns then.
 func (sim *simulation) submitDurable(j *jobSpec) {
+	sim.addQueue(j.queue)
 	j.submissionsLeft--
 	retry := func() {
 		if j.submissionsLeft <= 0 {
--- a/lab/emulator/entry.go
+++ b/lab/emulator/entry.go
@@ -61,6 +61,11 @@
 		EndedRetention: time.Hour, MaxOpenJobs: 1000,
 	}, e.sim.now)
 	e.scheduleTick()
+	if e.sim.configDelay != nil {
+		e.receiveCatalog(e.sim.configDelay())
+	} else {
+		e.ledger.SetCatalog(e.sim.now, e.sim.catalog)
+	}
 	e.pollChanges(0, true)
 	e.drainLoop()
 	for _, a := range e.sim.agents {
@@ -70,6 +75,14 @@
 	}
 }
 
+// receiveCatalog gives the entry the configuration after a delay.
+func (e *entryProcess) receiveCatalog(delay time.Duration) {
+	e.deliver(delay, func() {
+		e.ledger.SetCatalog(e.sim.now, e.sim.catalog)
+		e.perform()
+	})
+}
+
 func (e *entryProcess) scheduleTick() {
 	e.deliver(tickInterval, func() {
 		e.core.Tick(e.sim.now)
--- a/lab/emulator/simulation.go
+++ b/lab/emulator/simulation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotpick.example/core/batch"
+	"peridotpick.example/core/catalog"
 	"peridotpick.example/core/ledger"
 	"peridotpick.example/wire/runs"
 )
@@ -50,6 +51,11 @@
 	entries []*entryProcess
 	store   *store
 	checker checker
+	// queues are the queues of durable jobs submitted so far. catalog is the configuration that
+	// entries get: at once, or after configDelay when they start.
+	queues      []catalog.Queue
+	catalog     *catalog.Catalog
+	configDelay func() time.Duration
 	// jobs are the jobs that callers have submitted, by name.
 	jobs map[string]*jobSpec
 	// stats collects the outcomes of jobs; nil if they are not recorded.
@@ -121,6 +127,29 @@
 	})
 }
 
+// addQueue adds a queue to the configuration if it has none of that name.
+func (sim *simulation) addQueue(q *catalog.Queue) {
+	for i := range sim.queues {
+		if sim.queues[i].Name == q.Name {
+			return
+		}
+	}
+	sim.queues = append(sim.queues, *q)
+	sim.configure(sim.queues)
+}
+
+// configure gives all entries a configuration with the given queues.
+func (sim *simulation) configure(queues []catalog.Queue) {
+	version := uint64(1)
+	if sim.catalog != nil {
+		version = sim.catalog.Version + 1
+	}
+	sim.catalog = catalog.New(version, catalog.Limits{}, queues)
+	for _, e := range sim.entries {
+		e.receiveCatalog(time.Millisecond)
+	}
+}
+
 // elapsed returns the virtual time since the simulation began.
 func (sim *simulation) elapsed() time.Duration { return sim.now.Sub(simulationStart) }
 
--- a/service/batch/config.go
+++ b/service/batch/config.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	core "peridotpick.example/core/batch"
 )
 
 // storeRetryPause is the pause after a failed call to the store. Meanwhile other entries send the
@@ -67,4 +69,5 @@
 	}
 	e.log.Info().Uint64("config", doc.Catalog.Version).Str("from", from).Msg("entry: configuration in force")
 	e.peers.handleConfigChange()
+	e.post(func(_ *core.Core, now time.Time) { e.durable.ledger.SetCatalog(now, e.Catalog()) })
 }
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -297,16 +297,10 @@
 	return len(out.Lost)+len(out.Cancelled)+len(out.StoredRecords)+len(out.Acquired) > 0
 }
 
-// startJob has the core run a job. A job whose queue is not in the configuration is not started.
+// startJob has the core run a job.
 func (d *durableJobs) startJob(now time.Time, acquired *ledger.Acquisition) {
-	e := d.entry
-	config := e.Catalog()
-	if config == nil || config.QueueByName(acquired.Row.Queue) == nil {
-		e.log.Warn().Str("job", acquired.Job).Str("queue", acquired.Row.Queue).Msg("entry: the queue of a durable job is not configured")
-		return
-	}
-	e.core.RunDurable(now, &core.DurableJob{
-		Job: acquired.Job, Queue: config.QueueByName(acquired.Row.Queue), Version: config.Version, Spec: acquired.Row.Spec, Steps: acquired.Row.Steps,
+	d.entry.core.RunDurable(now, &core.DurableJob{
+		Job: acquired.Job, Queue: acquired.Queue, Version: acquired.Version, Spec: acquired.Row.Spec, Steps: acquired.Row.Steps,
 		Epoch: acquired.Row.Epoch, StartedEpoch: acquired.Row.StartedEpoch, Progress: acquired.Row.Progress, SafeAt: acquired.SafeAt,
 	})
 }
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -377,6 +377,7 @@
 	telemetry.SetGauge("reservations", e.deps.Metrics, int64(e.core.Reservations()))
 	e.updateShareGauges()
 	telemetry.SetGauge("durable.open", e.deps.Metrics, int64(e.durable.ledger.OpenJobs()))
+	telemetry.SetGauge("durable.waiting", e.deps.Metrics, int64(e.durable.ledger.WaitingJobs()))
 	telemetry.SetGauge("workers", e.deps.Metrics, e.workers.Load())
 	telemetry.SetGauge("ticks", e.deps.Metrics, e.ticks.Load())
 	telemetry.SetGauge("links", e.deps.Metrics, int64(len(e.links)))
