--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -259,6 +259,9 @@
 	return c.loaded && now.Sub(c.confirmedAt) < within
 }
 
+// IsCurrent reports whether every job that was accepted before the given time is known here.
+func (c *Core) IsCurrent(since time.Time) bool { return c.loaded && !c.confirmedAt.Before(since) }
+
 // Accept stores a new job. The request is answered once the job is stored or refused.
 func (c *Core) Accept(now time.Time, id RequestID, name string, row *Row) {
 	c.now = now
@@ -281,12 +284,14 @@
 	}
 }
 
-// Cancel cancels a job. The request is answered once the cancellation is stored or has failed.
-func (c *Core) Cancel(now time.Time, id RequestID, name string) {
+// Cancel cancels a job. The request is answered once the cancellation is stored or has failed. A job
+// that is unknown here may have been accepted by another entry until requestedAt, when the request
+// arrived.
+func (c *Core) Cancel(now time.Time, id RequestID, name string, requestedAt time.Time) {
 	c.now = now
 	j := c.jobs[name]
 	switch {
-	case j == nil && !c.IsFresh(now, c.settings.SilenceTimeout):
+	case j == nil && !c.IsCurrent(requestedAt):
 		c.answer(id, errkind.StoreUnavailable)
 	case j == nil:
 		c.answer(id, errkind.NotFound)
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -159,18 +159,30 @@
 func TestCancelIsStoredAndStopsTheJob(t *testing.T) {
 	is := is.New(t)
 	c := newCoreOwning("j")
-	c.Cancel(after(10), 5, "j")
+	c.Cancel(after(10), 5, "j", after(10))
 	w := c.Flush().Writes[0]
 	is.Equal(w.Row.State, batch.JobCancelled)
 	c.HandleWriteResult(after(15), w, WriteResult{Status: Applied, Version: 8})
 	out := c.Flush()
 	is.Equal(out.Answers, []Answer{{Request: 5, Kind: errkind.OK}})
 	is.Equal(out.Cancelled, []string{"j"})
-	c.Cancel(after(20), 6, "j")
-	c.Cancel(after(20), 7, "unknown")
+	c.Cancel(after(20), 6, "j", after(20))
+	c.Cancel(after(20), 7, "unknown", start)
 	is.Equal(c.Flush().Answers, []Answer{{Request: 6, Kind: errkind.OK}, {Request: 7, Kind: errkind.NotFound}})
 }
 
+// TestUnknownJobIsNotCancelledBeforeItsRowCanBeRead guards against an early cancel that is answered
+// as if the job did not exist, while it was accepted by another entry a moment before.
+func TestUnknownJobIsNotCancelledBeforeItsRowCanBeRead(t *testing.T) {
+	is := is.New(t)
+	c := newLoadedCore()
+	c.Cancel(after(40), 1, "j", after(40)) // the newest poll was sent 40 ms before
+	is.Equal(c.Flush().Answers, []Answer{{Request: 1, Kind: errkind.StoreUnavailable}})
+	c.ApplyChanges(after(60), nil, after(50))
+	c.Cancel(after(60), 2, "j", after(40))
+	is.Equal(c.Flush().Answers, []Answer{{Request: 2, Kind: errkind.NotFound}})
+}
+
 func TestTakeoverFromSilentEntryWaitsForItsOwnershipToExpire(t *testing.T) {
 	is := is.New(t)
 	c := newLoadedCore(rowOfPeer("j", 4))
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -48,12 +48,11 @@
 	// pollPause is the pause after a poll that has returned changes. It bounds the rate of calls to
 	// the store, and how old the state of a job may be at other entries.
 	pollPause = 80 * time.Millisecond
-	// freshTimeout is how long a request waits for the known jobs to be fresh enough,
-	// freshCheckInterval the time between two checks.
+	// freshTimeout is how long a request waits for the known jobs to be fresh enough while the store
+	// does not answer, freshCheckInterval the time between two checks.
 	freshTimeout       = 250 * time.Millisecond
 	freshCheckInterval = 10 * time.Millisecond
-	// maxStaleness is how old the newest answered poll may be for a job to be reported as not
-	// existing.
+	// maxStaleness is how old the newest answered poll may be for the number of queued jobs.
 	maxStaleness = 2 * time.Second
 )
 
@@ -76,11 +75,15 @@
 	// empty is set while there is no durable job; polls of the changes wait longer then.
 	empty atomic.Bool
 	polls pollSet
-	// pollNow is set when a request needs fresher jobs: the next poll returns at once.
-	// pollRequestedAt is when that was last asked for; only the event loop uses it.
+	// pollNow is set when a request needs fresher jobs: the next poll returns at once. prompt is set
+	// while such a poll is under way. pollRequestedAt is when one was last asked for; only the event
+	// loop uses it.
 	pollNow         atomic.Bool
+	prompt          atomic.Bool
 	pollRequestedAt time.Time
-	nextID          atomic.Uint64
+	// failing is set while polls are not answered.
+	failing atomic.Bool
+	nextID  atomic.Uint64
 }
 
 func newDurableJobs(e *Entry, s ledger.Settings, writesPerSecond float64) *durableJobs {
@@ -108,7 +111,7 @@
 func (d *durableJobs) followChanges(ctx context.Context) error {
 	e := d.entry
 	var after uint64
-	loaded, failing := false, false
+	loaded := false
 	for ctx.Err() == nil {
 		sentAt := boottime.Now()
 		call, done := d.polls.begin(ctx)
@@ -119,15 +122,13 @@
 			continue // a request needs fresher jobs
 		}
 		if err != nil {
-			if !failing {
+			if !d.failing.Swap(true) {
 				e.log.Warn().Err(err).Msg("entry: the store does not tell the durable jobs")
 			}
-			failing = true
 			sleep(ctx, storeRetryPause)
 			continue
 		}
-		if failing {
-			failing = false
+		if d.failing.Swap(false) {
 			e.log.Info().Msg("entry: the store tells the durable jobs again")
 		}
 		if changes.Restart {
@@ -154,18 +155,20 @@
 }
 
 // poll makes one call to the store. It waits for changes longer while there is no durable job, and
-// not at all if a request needs fresher jobs or ownership is not confirmed.
+// not at all if a request needs fresher jobs, ownership is not confirmed or the last poll failed.
 func (d *durableJobs) poll(ctx context.Context, loaded bool, after uint64) (Changes, error) {
 	if !loaded {
 		return d.entry.deps.Store.ReadJobs(ctx)
 	}
 	wait := jobPollWait
 	switch {
-	case d.pollNow.Swap(false), d.unconfirmed.Load():
+	case d.pollNow.Swap(false), d.unconfirmed.Load(), d.failing.Load():
 		wait = 0
 	case d.empty.Load():
 		wait = max(jobPollWait, d.entry.nextPollWait())
 	}
+	d.prompt.Store(wait == 0)
+	defer d.prompt.Store(false)
 	return d.entry.deps.Store.JobChanges(ctx, after, wait)
 }
 
@@ -214,36 +217,61 @@
 // answered.
 const minPollRequestInterval = 100 * time.Millisecond
 
-// requestPoll cancels the waiting poll and has the next one return at once.
+// requestPoll has the next poll return at once. It cancels a poll that waits for changes, but not one
+// that returns at once too: that would never be answered while the store is slow.
 func (d *durableJobs) requestPoll(now time.Time) {
 	if now.Sub(d.pollRequestedAt) < minPollRequestInterval {
 		return
 	}
 	d.pollRequestedAt = now
 	d.pollNow.Store(true)
-	d.polls.cancelAll()
+	if !d.prompt.Load() {
+		d.polls.cancelAll()
+	}
 }
 
-// ensureFresh waits until the known jobs are fresh enough to tell that a job does not exist, at
-// most for freshTimeout. This is needed because polls wait long while there is no durable job.
+// awaitJob waits until a job is known, or is known not to have been accepted before the given time.
+// Requests share the polls that this takes. It returns early if the store does not answer.
+func (d *durableJobs) awaitJob(ctx context.Context, name string, since time.Time) {
+	d.await(ctx, func(now time.Time) bool {
+		if _, known := d.ledger.State(name); known || d.ledger.IsCurrent(since) {
+			return true
+		}
+		if d.pollRequestedAt.Before(since) {
+			d.requestPoll(now)
+		}
+		return false
+	})
+}
+
+// ensureFresh waits until the known jobs are at most maxStaleness old. This is needed because polls
+// wait long while there is no durable job.
 func (d *durableJobs) ensureFresh(ctx context.Context) {
-	if d.isFresh() {
-		return
-	}
-	d.entry.post(func(_ *core.Core, now time.Time) { d.requestPoll(now) })
-	for deadline := time.Now().Add(freshTimeout); time.Now().Before(deadline) && !d.isFresh(); {
-		sleep(ctx, freshCheckInterval)
-	}
+	ctx, stop := context.WithTimeout(ctx, freshTimeout)
+	defer stop()
+	d.await(ctx, func(now time.Time) bool {
+		if d.ledger.IsFresh(now, maxStaleness) {
+			return true
+		}
+		d.requestPoll(now)
+		return false
+	})
 }
 
-func (d *durableJobs) isFresh() bool {
-	fresh := make(chan bool, 1)
-	d.entry.post(func(_ *core.Core, now time.Time) { fresh <- d.ledger.IsFresh(now, maxStaleness) })
-	select {
-	case f := <-fresh:
-		return f
-	case <-d.entry.work.Done():
-		return true
+// await waits until a condition, which the event loop checks, is met or ctx ends, and at most for
+// freshTimeout if the store does not answer.
+func (d *durableJobs) await(ctx context.Context, isMet func(now time.Time) bool) {
+	for began := time.Now(); ctx.Err() == nil; sleep(ctx, freshCheckInterval) {
+		met := make(chan bool, 1)
+		d.entry.post(func(_ *core.Core, now time.Time) { met <- isMet(now) })
+		select {
+		case done := <-met:
+			if done || d.failing.Load() && time.Since(began) >= freshTimeout {
+				return
+			}
+		case <-d.entry.work.Done():
+			return
+		}
 	}
 }
 
@@ -331,8 +359,9 @@
 
 // CancelDurable cancels a durable job.
 func (e *Entry) CancelDurable(ctx context.Context, name string) errkind.Kind {
-	e.durable.ensureFresh(ctx)
-	return e.durable.request(ctx, func(id ledger.RequestID, now time.Time) { e.durable.ledger.Cancel(now, id, name) })
+	requestedAt := boottime.Now()
+	e.durable.awaitJob(ctx, name, requestedAt)
+	return e.durable.request(ctx, func(id ledger.RequestID, now time.Time) { e.durable.ledger.Cancel(now, id, name, requestedAt) })
 }
 
 // request posts an event that makes a request to the ledger, and waits for the answer.
@@ -357,8 +386,8 @@
 // JobStatus is the state of a durable job.
 type JobStatus struct {
 	State core.JobState
-	// Known is set if the job exists. Certain is set if the known jobs are fresh; if neither is
-	// set, it is unknown whether the job exists.
+	// Known is set if the job exists. Certain is set if all jobs accepted before the request are
+	// known; if neither is set, it is unknown whether the job exists.
 	Known, Certain bool
 }
 
@@ -370,12 +399,10 @@
 // JobState returns the state of a durable job. For a running job it waits up to statusWait for the
 // end.
 func (e *Entry) JobState(ctx context.Context, name string) JobStatus {
+	requestedAt := boottime.Now()
+	e.durable.awaitJob(ctx, name, requestedAt)
 	ended := make(chan struct{})
-	status := e.currentState(name, ended)
-	if !status.Known && !status.Certain {
-		e.durable.ensureFresh(ctx)
-		status = e.currentState(name, ended)
-	}
+	status := e.currentState(name, requestedAt, ended)
 	if !status.Known || status.State != core.JobRunning {
 		return status
 	}
@@ -384,15 +411,15 @@
 	case <-time.After(statusWait):
 	case <-ctx.Done():
 	}
-	return e.currentState(name, nil)
+	return e.currentState(name, requestedAt, nil)
 }
 
-// currentState returns the state of a job without waiting for its end. If the job has not ended and
-// ended is not nil, ended is closed when it does.
-func (e *Entry) currentState(name string, ended chan<- struct{}) JobStatus {
+// currentState returns the state of a job, asked for at requestedAt, without waiting for its end. If
+// the job has not ended and ended is not nil, ended is closed when it does.
+func (e *Entry) currentState(name string, requestedAt time.Time, ended chan<- struct{}) JobStatus {
 	status := make(chan JobStatus, 1)
 	e.post(func(c *core.Core, now time.Time) {
-		s := JobStatus{Certain: e.durable.ledger.IsFresh(now, maxStaleness)}
+		s := JobStatus{Certain: e.durable.ledger.IsCurrent(requestedAt)}
 		s.State, s.Known = e.durable.ledger.State(name)
 		if local, running := c.DurableState(name); running && s.Known && !s.State.Ended() && !local.Ended() {
 			s.State = local
