core/ledger: a row that the store does not take holds up nothing

What callers saw: a job of 7,000 tasks was accepted and shown as running for good, and of 20 small jobs at the same entry 4 or 5 were not accepted.

Cause: progress made the row larger than the store's row_bytes. The store's 400 counted as an unknown result, and the write was repeated for good together with the others of its partition.

Change: a job whose row may outgrow the limit is answered 413 with its size and the limit before anything is stored. Checkpoints are left out of a row that would be too large with them.

--- a/cmd/peridotpick/dispatch.go
+++ b/cmd/peridotpick/dispatch.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	callers := ingress.New(e, sink.For(logs.HTTP))
+	callers := ingress.New(e, file.Platform.RowBytes, sink.For(logs.HTTP))
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, _ := errgroup.WithContext(serveCtx)
@@ -114,7 +114,7 @@
 		WritesPerSecond: file.Platform.WritesPerSecond * writeShare,
 		Ledger: ledger.Settings{
 			OwnershipTTL: ownershipTTL, RunExpiry: leaseTimes.Owner + leaseTimes.RunExpiry, SilenceTimeout: ownerSilenceTimeout,
-			EndedRetention: file.JobRetention() + retentionSlack, MaxOpenJobs: maxOpenJobs,
+			EndedRetention: file.JobRetention() + retentionSlack, MaxRowBytes: file.Platform.RowBytes, MaxOpenJobs: maxOpenJobs,
 		},
 		Name: file.Name, Address: file.InternalAddress(file.IP), Seeds: file.EntrySeeds(),
 		Core: coreSettings,
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -47,6 +47,8 @@
 	// EndedRetention is how long the row of an ended job is kept, so that callers can ask for its
 	// state.
 	EndedRetention time.Duration
+	// MaxRowBytes is the greatest size of a row that the store takes; 0 if there is no limit.
+	MaxRowBytes int
 	// MaxOpenJobs limits the number of jobs of this entry that have not ended.
 	MaxOpenJobs int
 }
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -30,6 +32,54 @@
 	StartedEpoch uint64 `cbor:"10,keyasint,omitempty"`
 }
 
+// Greatest encoded sizes in bytes. An integer takes its field number and up to 5 bytes.
+const (
+	// rowBytes is for the fields of a row besides its queue, specification, steps and progress.
+	rowBytes = 256
+	// stepBytes is for a step besides its texts, afterBytes for each step that it comes after.
+	stepBytes  = 72
+	afterBytes = 2
+	// progressBytes is for the progress of a task without its checkpoint; textBytes for the length of
+	// a text.
+	progressBytes = 56
+	textBytes     = 5
+)
+
+// maxSize returns the greatest size in bytes that the encoded row may grow to, without checkpoints.
+func (r *Row) maxSize() int {
+	size := rowBytes + len(r.Queue) + len(r.Spec)
+	for _, s := range r.Steps {
+		size += stepBytes + len(s.Requires) + len(s.DataRack) + afterBytes*len(s.After) + progressBytes*s.Count
+	}
+	return size
+}
+
+// CheckSize returns an error if the row may grow beyond a limit in bytes before its job has ended.
+func (r *Row) CheckSize(limit int) error {
+	if size := r.maxSize(); size > limit {
+		return eris.Errorf("steps: with its progress the job takes up to %d bytes in the store, at most %d", size, limit)
+	}
+	return nil
+}
+
+// fit removes the checkpoints from the progress if the row might exceed a limit in bytes with them.
+// Tasks whose next run no longer has one start from the beginning.
+func (r *Row) fit(limit int) {
+	size := r.maxSize()
+	for _, p := range r.Progress {
+		if p.Checkpoint != "" {
+			size += textBytes + len(p.Checkpoint)
+		}
+	}
+	if limit <= 0 || size <= limit {
+		return
+	}
+	r.Progress = slices.Clone(r.Progress)
+	for i := range r.Progress {
+		r.Progress[i].Checkpoint = ""
+	}
+}
+
 // Encode returns the CBOR encoding of r, as it is stored.
 func (r *Row) Encode() ([]byte, error) {
 	raw, err := cbor.Marshal(r)
@@ -77,6 +127,8 @@
 	Conflict
 	// Rejected means that the store has rejected the write; nothing was changed, nor will be later.
 	Rejected
+	// Invalid means that the store accepts no such write, however often it is repeated.
+	Invalid
 )
 
 // WriteResult is the result of a write.
--- /dev/null
+++ b/core/ledger/row_test.go
@@ -0,0 +1,88 @@
+package ledger
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpick.example/common/room"
+	"peridotpick.example/core/batch"
+	"peridotpick.example/wire/runs"
+)
+
+// largestRow returns a row with the greatest values that its fields take, of a job with the given
+// tasks, all with the given checkpoint.
+func largestRow(steps, tasks int, checkpoint string) *Row {
+	r := &Row{
+		Queue: strings.Repeat("q", 60), Owner: runs.Entry{Address: "255.255.255.255:65535", Incarnation: math.MaxUint64, DataCentre: strings.Repeat("d", 60), ShortOfAgents: true},
+		Epoch: batch.MaxEpoch, State: batch.JobRunning, Writer: math.MaxUint64, Write: math.MaxUint64, Spec: strings.Repeat("x", 4000), StartedEpoch: batch.MaxEpoch,
+	}
+	for s := range steps {
+		step := batch.Step{
+			Count: tasks, Need: room.Resources{CPU: math.MaxInt32, Memory: math.MaxInt32, GPU: math.MaxInt32}, Estimate: 24 * time.Hour,
+			Requires: "label", DataRack: "rack", AntiAffinity: math.MaxInt32,
+		}
+		for before := range s {
+			step.After = append(step.After, before)
+		}
+		r.Steps = append(r.Steps, step)
+		for n := range tasks {
+			r.Progress = append(r.Progress, batch.TaskProgress{
+				Step: s, Index: n, Done: true, Failures: math.MaxInt32, Run: math.MaxUint32, Abandoned: math.MaxUint32, Checkpoint: checkpoint,
+				LostWorkers: math.MaxInt32, BlamedCrashes: math.MaxInt32, UnreachableWorkers: math.MaxInt32,
+			})
+		}
+	}
+	return r
+}
+
+// TestRowNeverExceedsItsMaxSize guards against an accepted job whose progress the store does not take.
+func TestRowNeverExceedsItsMaxSize(t *testing.T) {
+	is := is.New(t)
+	for _, size := range [][2]int{{1, 1}, {1, 140}, {64, 1}, {5, 200}, {64, 20}, {1, 5000}} {
+		r := largestRow(size[0], size[1], "")
+		raw, err := r.Encode()
+		is.NoErr(err)
+		is.True(len(raw) <= r.maxSize())
+		is.NoErr(r.CheckSize(r.maxSize()))
+		is.True(r.CheckSize(r.maxSize()-1) != nil)
+	}
+}
+
+// TestRowFitsWithoutItsCheckpoints guards against progress that cannot be stored because of long
+// checkpoints.
+func TestRowFitsWithoutItsCheckpoints(t *testing.T) {
+	is := is.New(t)
+	r := largestRow(1, 140, strings.Repeat("c", 1000))
+	r.fit(1 << 20)
+	is.Equal(len(r.Progress[0].Checkpoint), 1000)
+	before := r.Progress
+	r.fit(1 << 16)
+	raw, err := r.Encode()
+	is.NoErr(err)
+	is.True(len(raw) <= 1<<16)
+	is.Equal(len(before[0].Checkpoint), 1000) // the record of the core is not changed
+}
+
+// TestInvalidWriteIsNotRepeated guards against a row that the store never takes and that is written
+// again for good.
+func TestInvalidWriteIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	c := newLoadedCore()
+	w := acceptJob(c, start, 1, "j")
+	c.HandleWriteResult(after(5), w, WriteResult{Status: Invalid})
+	is.Equal(len(c.Flush().Answers), 1)
+	_, known := c.State("j")
+	is.True(!known)
+
+	c = newCoreOwning("j")
+	c.SaveRecord(after(10), batch.Record{Job: "j", Seq: 1, State: batch.JobRunning})
+	c.HandleWriteResult(after(15), c.Flush().Writes[0], WriteResult{Status: Invalid})
+	c.Tick(after(1000))
+	is.Equal(len(c.Flush().Writes), 0)
+	c.SaveRecord(after(1100), batch.Record{Job: "j", Seq: 2, State: batch.JobDone})
+	is.Equal(len(c.Flush().Writes), 1) // later ones are tried
+}
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -13,6 +13,7 @@
 	c.lastWriteID++
 	row.Writer = c.settings.Self.Incarnation
 	row.Write = c.lastWriteID
+	row.fit(c.settings.MaxRowBytes)
 	if row.State.Ended() {
 		row.Spec, row.Steps = "", nil
 	}
@@ -92,6 +93,11 @@
 	case Rejected:
 		j.pendingWrite = nil
 		c.handleRejected(j, w)
+	case Invalid:
+		j.pendingWrite = nil
+		c.logDecision(j, "write invalid", "the store does not take the row")
+		w.seq = 0 // the record is not repeated
+		c.handleRejected(j, w)
 	}
 }
 
