--- a/core/batch/durable_test.go
+++ b/core/batch/durable_test.go
@@ -191,6 +191,23 @@
 	h.is.Equal(len(acked)+len(void)+len(out.Records), 0) // left to the next owner
 }
 
+// TestReacquiredJobThatIsNoLongerToRunDoesNotStart guards against a job that starts although it was
+// cancelled, or taken over by another entry, while runs from before it was disowned were ending.
+func TestReacquiredJobThatIsNoLongerToRunDoesNotStart(t *testing.T) {
+	for _, stop := range []func(c *Core, now time.Time, name string){(*Core).CancelDurable, (*Core).StopLost} {
+		h := newHarness(t, 1)
+		first := startsByLink(h.own(begin, 1, 1, nil))[0][0]
+		h.StopLost(after(100), jobName(1))
+		h.own(after(200), 1, 1, func(d *DurableJob) { d.Epoch = 2 })
+		stop(h.Core, after(300), jobName(1))
+		h.reportHeldEnd(after(400), 0, 1, 0, first.Key.Run, runs.OutcomeStopped)
+		starts, _ := h.storeRecords(after(410))
+		h.is.Equal(len(starts), 0)
+		_, owned := h.DurableState(jobName(1))
+		h.is.Equal(owned, false)
+	}
+}
+
 func TestCancelledJobStopsAndNeedsNoRecord(t *testing.T) {
 	h := newHarness(t, 1)
 	starts := startsByLink(h.own(begin, 1, 1, nil))[0]
