--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -408,6 +408,23 @@
 	is.True(!known)
 }
 
+// TestRowChangedBeforeItsRemovalStays guards against a removal that meets another version of the row.
+func TestRowChangedBeforeItsRemovalStays(t *testing.T) {
+	is := is.New(t)
+	ended := rowOfPeer("j", 4)
+	ended.Row.State = batch.JobDone
+	c := newLoadedCore(ended)
+	c.ApplyChanges(after(70_000), nil, after(69_990))
+	c.Tick(after(70_000))
+	w := c.Flush().Writes[0]
+	is.Equal(w.Row, nil)
+	changed := rowOfPeer("j", 9)
+	c.HandleWriteResult(after(70_010), w, WriteResult{Status: Conflict, Current: changed})
+	state, known := c.State("j")
+	is.True(known)
+	is.Equal(state, changed.Row.State)
+}
+
 func TestRowRoundTrip(t *testing.T) {
 	is := is.New(t)
 	row := &Row{
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -205,7 +205,7 @@
 	if !c.isOwned(j) {
 		j.startDelay = 0 // the delay belongs to a takeover that another entry's write has forestalled
 	}
-	if w.Row.Owner == current.Row.Owner && !current.Row.State.Ended() {
+	if w.Row != nil && w.Row.Owner == current.Row.Owner && !current.Row.State.Ended() {
 		j.repeatRecord(w)
 	}
 	if current.Version > j.version {
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -113,9 +113,8 @@
 	var after uint64
 	loaded := false
 	for ctx.Err() == nil {
-		sentAt := boottime.Now()
 		call, done := d.polls.begin(ctx)
-		changes, err := d.poll(call, loaded, after)
+		sentAt, changes, err := d.poll(call, loaded, after)
 		ended := call.Err() != nil
 		done()
 		if ended {
@@ -155,10 +154,13 @@
 }
 
 // poll makes one call to the store. It waits for changes longer while there is no durable job, and
-// not at all if a request needs fresher jobs, ownership is not confirmed or the last poll failed.
-func (d *durableJobs) poll(ctx context.Context, loaded bool, after uint64) (Changes, error) {
+// not at all if a request needs fresher jobs, ownership is not confirmed or the last poll failed. It
+// returns when the call was sent, which is after all requests for which the poll is made.
+func (d *durableJobs) poll(ctx context.Context, loaded bool, after uint64) (sentAt time.Time, changes Changes, err error) {
 	if !loaded {
-		return d.entry.deps.Store.ReadJobs(ctx)
+		sentAt = boottime.Now()
+		changes, err = d.entry.deps.Store.ReadJobs(ctx)
+		return sentAt, changes, err
 	}
 	wait := jobPollWait
 	switch {
@@ -169,7 +171,9 @@
 	}
 	d.prompt.Store(wait == 0)
 	defer d.prompt.Store(false)
-	return d.entry.deps.Store.JobChanges(ctx, after, wait)
+	sentAt = boottime.Now()
+	changes, err = d.entry.deps.Store.JobChanges(ctx, after, wait)
+	return sentAt, changes, err
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -231,9 +235,10 @@
 }
 
 // awaitJob waits until a job is known, or is known not to have been accepted before the given time.
-// Requests share the polls that this takes. It returns early if the store does not answer.
-func (d *durableJobs) awaitJob(ctx context.Context, name string, since time.Time) {
-	d.await(ctx, func(now time.Time) bool {
+// Requests share the polls that this takes. It reports whether one of both is the case, false early if
+// the store does not answer.
+func (d *durableJobs) awaitJob(ctx context.Context, name string, since time.Time) bool {
+	return d.await(ctx, func(now time.Time) bool {
 		if _, known := d.ledger.State(name); known || d.ledger.IsCurrent(since) {
 			return true
 		}
@@ -259,18 +264,18 @@
 }
 
 // await waits until a condition, which the event loop checks, is met or ctx ends, and at most for
-// freshTimeout if the store does not answer.
-func (d *durableJobs) await(ctx context.Context, isMet func(now time.Time) bool) {
-	for began := time.Now(); ctx.Err() == nil; sleep(ctx, freshCheckInterval) {
+// freshTimeout if the store does not answer. It checks at least once, and reports the last result.
+func (d *durableJobs) await(ctx context.Context, isMet func(now time.Time) bool) bool {
+	for began := time.Now(); ; sleep(ctx, freshCheckInterval) {
 		met := make(chan bool, 1)
 		d.entry.post(func(_ *core.Core, now time.Time) { met <- isMet(now) })
 		select {
 		case done := <-met:
-			if done || d.failing.Load() && time.Since(began) >= freshTimeout {
-				return
+			if done || ctx.Err() != nil || d.failing.Load() && time.Since(began) >= freshTimeout {
+				return done
 			}
 		case <-d.entry.work.Done():
-			return
+			return false
 		}
 	}
 }
@@ -360,7 +365,9 @@
 // CancelDurable cancels a durable job.
 func (e *Entry) CancelDurable(ctx context.Context, name string) errkind.Kind {
 	requestedAt := boottime.Now()
-	e.durable.awaitJob(ctx, name, requestedAt)
+	if !e.durable.awaitJob(ctx, name, requestedAt) {
+		return errkind.StoreUnavailable // nothing was changed
+	}
 	return e.durable.request(ctx, func(id ledger.RequestID, now time.Time) { e.durable.ledger.Cancel(now, id, name, requestedAt) })
 }
 
