--- a/lab/emulator/config_test.go
+++ b/lab/emulator/config_test.go
@@ -32,11 +32,5 @@
 // TestLateConfigurationSchedules guards against an accepted job that its owner never runs, as it got
 // the job before it had a configuration with its queue.
 func TestLateConfigurationSchedules(t *testing.T) {
-	ended := 0
-	simulateSeeds(t, *seeds/3, simulateLateConfigurations, func(sim *simulation) {
-		if len(sim.checker.violations) == 0 {
-			ended += checkJobsEnded(sim)
-		}
-	})
-	t.Logf("%d durable jobs ended", ended)
+	checkThatJobsEnd(t, simulateLateConfigurations)
 }
--- a/lab/emulator/durable_test.go
+++ b/lab/emulator/durable_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"peridotpick.example/wire/runs"
 )
 
 // durableFaults are faults that affect durable jobs in particular.
@@ -70,6 +72,32 @@
 	return ended
 }
 
+// checkThatJobsEnd simulates a third of the schedules with the seeds 1 and up, and checks that all
+// guarantees hold and that all accepted durable jobs end.
+func checkThatJobsEnd(t *testing.T, simulate func(seed uint64) *simulation) {
+	t.Helper()
+	ended := 0
+	simulateSeeds(t, *seeds/3, simulate, func(sim *simulation) {
+		if len(sim.checker.violations) == 0 {
+			ended += checkJobsEnded(sim)
+		}
+	})
+	t.Logf("%d durable jobs ended", ended)
+}
+
+// submitLongJobs submits durable jobs of up to three tasks within a time. Each run takes between
+// shortest and shortest + spread; one in twenty fails.
+func submitLongJobs(sim *simulation, jobs int, within, shortest, spread time.Duration) {
+	for n := range jobs {
+		j := testDurableJob(sim, fmt.Sprintf("d%015x", n), 1+sim.rand.IntN(3))
+		j.taskWork = func(runs.Key) (time.Duration, bool) {
+			work := shortest + time.Duration(sim.rand.IntN(int(spread.Milliseconds())))*time.Millisecond
+			return work, sim.rand.IntN(20) == 0
+		}
+		sim.schedule(time.Duration(sim.rand.Int64N(int64(within))), func() { sim.submit(j) })
+	}
+}
+
 // TestDurableSchedules checks that all guarantees hold for durable and awaited jobs under random
 // faults, and that all accepted durable jobs end.
 func TestDurableSchedules(t *testing.T) {
--- a/lab/emulator/owners_test.go
+++ b/lab/emulator/owners_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"peridotpick.example/wire/runs"
 )
 
 // simulateOwnerChanges runs one schedule in which durable jobs of long tasks change their owner
@@ -14,13 +12,7 @@
 func simulateOwnerChanges(seed uint64) *simulation {
 	sim := newSimulation(seed, testConfig())
 	sim.logsEvents = *oneSeed != 0
-	for n := range 8 {
-		j := testDurableJob(sim, fmt.Sprintf("d%015x", n), 1+sim.rand.IntN(3))
-		j.taskWork = func(runs.Key) (time.Duration, bool) {
-			return time.Duration(1000+sim.rand.IntN(4000)) * time.Millisecond, sim.rand.IntN(20) == 0
-		}
-		sim.schedule(time.Duration(sim.rand.Int64N(int64(2*time.Second))), func() { sim.submit(j) })
-	}
+	submitLongJobs(sim, 8, 2*time.Second, time.Second, 4*time.Second)
 	at := time.Second + time.Duration(sim.rand.Int64N(int64(2*time.Second)))
 	for range 2 + sim.rand.IntN(3) {
 		sim.schedule(at, func() { changeOwners(sim) })
@@ -52,13 +44,7 @@
 // TestOwnerChangeSchedules guards against the end of a previous owner's run being taken for that of
 // the current run, after which the task ran twice at the same time.
 func TestOwnerChangeSchedules(t *testing.T) {
-	ended := 0
-	simulateSeeds(t, *seeds/3, simulateOwnerChanges, func(sim *simulation) {
-		if len(sim.checker.violations) == 0 {
-			ended += checkJobsEnded(sim)
-		}
-	})
-	t.Logf("%d durable jobs ended", ended)
+	checkThatJobsEnd(t, simulateOwnerChanges)
 }
 
 // simulateOwnersBehindCuts runs one schedule in which durable jobs change their owner while agents
@@ -69,13 +55,7 @@
 	config.dataCentres[0].entries = 3
 	sim := newSimulation(seed, config)
 	sim.logsEvents = *oneSeed != 0
-	for n := range 12 {
-		j := testDurableJob(sim, fmt.Sprintf("d%015x", n), 1+sim.rand.IntN(3))
-		j.taskWork = func(runs.Key) (time.Duration, bool) {
-			return time.Duration(200+sim.rand.IntN(1500)) * time.Millisecond, sim.rand.IntN(20) == 0
-		}
-		sim.schedule(time.Duration(sim.rand.Int64N(int64(6*time.Second))), func() { sim.submit(j) })
-	}
+	submitLongJobs(sim, 12, 6*time.Second, 200*time.Millisecond, 1500*time.Millisecond)
 	for n := range 300 {
 		sim.schedule(time.Duration(sim.rand.Int64N(int64(20*time.Second))), func() { sim.submit(testJob(sim, fmt.Sprintf("%016x", n), 2, 1)) })
 	}
@@ -103,11 +83,5 @@
 // TestOwnersBehindCutsSchedules guards against an end that a later owner accepts although a previous
 // one, which had not heard of it, has started the task again.
 func TestOwnersBehindCutsSchedules(t *testing.T) {
-	ended := 0
-	simulateSeeds(t, *seeds/3, simulateOwnersBehindCuts, func(sim *simulation) {
-		if len(sim.checker.violations) == 0 {
-			ended += checkJobsEnded(sim)
-		}
-	})
-	t.Logf("%d durable jobs ended", ended)
+	checkThatJobsEnd(t, simulateOwnersBehindCuts)
 }
