core/ledger, service/batch: less work on hot paths; checks stand once

Found when the change was read once more; behaviour stays as it is.

- takeOver searched the queues for each job of other entries at each scan (five a second); it does so only once the owner is gone.
- A question for the state of a known job took two events of the loop before it was answered; it takes one, as before.
- forgetReacquired changed a job and answered a question; both callers do these in two lines. handleEnd asks for the reason of an end once.

Measured: nothing; the counts follow from the code. Tests of core/batch, ledger and runner, service/batch and platform/ingress pass, unchanged.

--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -141,7 +141,11 @@
 func (c *Core) StopLost(now time.Time, name string) {
 	c.Advance(now)
 	j := c.jobs.Get(name)
-	if j == nil || j.durable == nil || j.forgetReacquired() {
+	if j == nil || j.durable == nil {
+		return
+	}
+	j.durable.reacquired = nil
+	if j.durable.disowned {
 		return
 	}
 	c.logDecision(Decision{Event: "disown", Job: j.name, Queue: j.queue.Name, Version: j.version})
@@ -151,18 +155,15 @@
 	c.stopJob(j)
 }
 
-// forgetReacquired reports whether a job was disowned. If it was to be owned again once its runs are
-// over, it no longer is.
-func (j *job) forgetReacquired() bool {
-	j.durable.reacquired = nil
-	return j.durable.disowned
-}
-
 // CancelDurable stops a job that is cancelled in the store.
 func (c *Core) CancelDurable(now time.Time, name string) {
 	c.Advance(now)
 	j := c.jobs.Get(name)
-	if j == nil || j.durable == nil || j.forgetReacquired() || j.durable.state.Ended() {
+	if j == nil || j.durable == nil {
+		return
+	}
+	j.durable.reacquired = nil
+	if j.durable.disowned || j.durable.state.Ended() {
 		return
 	}
 	c.logDecision(Decision{Event: "cancelled", Job: j.name, Queue: j.queue.Name, Version: j.version})
--- a/core/batch/ends.go
+++ b/core/batch/ends.go
@@ -9,13 +9,15 @@
 // handleEnd handles the end of a run on a worker.
 func (c *Core) handleEnd(worker string, end runs.End) {
 	t := c.byTask[end.Key.Task]
-	if t == nil && end.Reason == runs.ReasonWorkerCrashed {
-		c.rememberUnowned(worker, end)
-		return
-	}
-	if t != nil && end.Reason == runs.ReasonWorkerCrashed && t.takeLateCrash(end.Key.Run) {
-		c.handleWorkerCrash(t, worker, end)
-		return
+	if end.Reason == runs.ReasonWorkerCrashed {
+		switch {
+		case t == nil:
+			c.rememberUnowned(worker, end)
+			return
+		case t.takeLateCrash(end.Key.Run):
+			c.handleWorkerCrash(t, worker, end)
+			return
+		}
 	}
 	if t == nil || t.state != taskPlaced || t.run != end.Key.Run {
 		return // of an earlier run, or of a job that is forgotten
--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -116,13 +116,13 @@
 	if c.isOwned(j) || j.pendingWrite != nil || j.version == 0 {
 		return
 	}
-	if queue, _ := c.queueOf(j); queue == nil {
-		return
-	}
 	goneSince, certain := c.goneSince(j.row.Owner)
 	if goneSince.IsZero() || c.now.Sub(goneSince) < time.Duration(c.takeoverRank(j.name))*takeoverDelayPerRank {
 		return
 	}
+	if queue, _ := c.queueOf(j); queue == nil {
+		return
+	}
 	startDelay := c.settings.RunExpiry
 	reason := "its process is gone"
 	if !certain {
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -54,9 +54,10 @@
 	return size
 }
 
-// CheckSize returns an error if the row may grow beyond a limit in bytes before its job has ended.
+// CheckSize returns an error if the row may grow beyond a limit in bytes before its job has ended; 0
+// means no limit.
 func (r *Row) CheckSize(limit int) error {
-	if size := r.maxSize(); size > limit {
+	if size := r.maxSize(); limit > 0 && size > limit {
 		return eris.Errorf("steps: with its progress the job takes up to %d bytes in the store, at most %d", size, limit)
 	}
 	return nil
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -316,7 +316,7 @@
 	c.recent.add(end)
 	c.logDecision("end "+end.Outcome.String(), r, end.Reason)
 	if r.durable && end.Reason == runs.ReasonWorkerCrashed {
-		c.sendLoss(r.owner, end)
+		c.sendLoss(r.owner, end) // the job may outlive its owner
 		return
 	}
 	c.sendEnd(r.owner, end)
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -407,9 +407,12 @@
 // end.
 func (e *Entry) JobState(ctx context.Context, name string) JobStatus {
 	requestedAt := boottime.Now()
-	e.durable.awaitJob(ctx, name, requestedAt)
 	ended := make(chan struct{})
 	status := e.currentState(name, requestedAt, ended)
+	if !status.Known && !status.Certain {
+		e.durable.awaitJob(ctx, name, requestedAt)
+		status = e.currentState(name, requestedAt, ended)
+	}
 	if !status.Known || status.State != core.JobRunning {
 		return status
 	}
