core/batch, core/runner: one bound for what is kept of tasks; a check less

Crashes kept for other entries' jobs and suspects had the same loop that forgets the oldest. SetOnDemand no longer needs to see whether its value changes, since what a link is told is compared when messages are made. Behaviour stays as it is; the tests of core/batch and core/runner pass unchanged.

--- a/core/batch/crash.go
+++ b/core/batch/crash.go
@@ -84,12 +84,7 @@
 	known.updatedAt = c.now
 	c.crashes.unowned.Delete(end.Key.Task)
 	c.crashes.unowned.Put(end.Key.Task, known)
-	for task, k := range c.crashes.unowned.All() {
-		if c.crashes.unowned.Len() <= maxSuspects && c.now.Sub(k.updatedAt) <= suspectRetention {
-			return
-		}
-		c.crashes.unowned.Delete(task)
-	}
+	forgetOldest(&c.crashes.unowned, c.now, func(u *unownedCrashes) time.Time { return u.updatedAt })
 }
 
 // countUnowned counts the crashes that were kept for the tasks of a job, but for those that its
@@ -283,7 +278,7 @@
 		c.crashes.suspects.Delete(s.Task)
 	}
 	c.crashes.suspects.Put(s.Task, &suspect{s, c.now})
-	c.forgetSuspects()
+	forgetOldest(&c.crashes.suspects, c.now, func(s *suspect) time.Time { return s.updatedAt })
 	c.out.Suspects = append(c.out.Suspects, s)
 	return true
 }
@@ -291,13 +286,14 @@
 // IsSuspect reports whether workers are known to have been lost while they ran a task.
 func (c *Core) IsSuspect(name string) bool { return c.crashes.suspects.Has(name) }
 
-// forgetSuspects removes the oldest suspects beyond the bounds on number and age.
-func (c *Core) forgetSuspects() {
-	for name, s := range c.crashes.suspects.All() {
-		if c.crashes.suspects.Len() <= maxSuspects && c.now.Sub(s.updatedAt) <= suspectRetention {
+// forgetOldest removes the tasks beyond the bounds on number and age from a map, which has the least
+// recently updated one first.
+func forgetOldest[V any](tasks *ordered.Map[string, *V], now time.Time, updatedAt func(*V) time.Time) {
+	for name, v := range tasks.All() {
+		if tasks.Len() <= maxSuspects && now.Sub(updatedAt(v)) <= suspectRetention {
 			return
 		}
-		c.crashes.suspects.Delete(name)
+		tasks.Delete(name)
 	}
 }
 
--- a/core/runner/release.go
+++ b/core/runner/release.go
@@ -41,10 +41,9 @@
 func (c *Core) SetOnDemand(now time.Time, id LinkID, onDemand bool) {
 	c.now = now
 	l := c.links.Get(id)
-	if l == nil || l.onDemand == onDemand {
-		return
+	if l != nil {
+		l.onDemand = onDemand
 	}
-	l.onDemand = onDemand
 }
 
 // closeReleased closes released links whose entries have no runs here.
