--- a/lab/cluster/guarantees_test.go
+++ b/lab/cluster/guarantees_test.go
@@ -335,6 +335,10 @@
 	is.NoErr(c.StartWorker(worker))
 	is.Equal(errorKind(<-done), errkind.FateUnknown)
 	is.Equal(c.Journal.StartsOf("k9/0"), 1)
+	// Until the agent has linked to an entry, that entry refuses calls at once.
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	is.NoErr(c.WaitReady(ctx))
 	_, err := c.clientOf(1).Call(AssociationService, "allergen-flag", "", 10*time.Second, []byte(`{"runMs":5}`))
 	is.NoErr(err)
 }
