core/ledger, service/batch: what answers callers' requests has its own files

TestDescriptionIsRepeatedWithinHeartbeats counts at one and at six links. Tests of core/ledger, core/runner and service/batch pass.

--- /dev/null
+++ b/core/ledger/requests.go
@@ -0,0 +1,131 @@
+package ledger
+
+import (
+	"time"
+
+	"peridotpick.example/common/errkind"
+	"peridotpick.example/core/batch"
+	"peridotpick.example/wire/runs"
+)
+
+// IsFresh reports whether every job that was accepted at least the given time ago is known here.
+func (c *Core) IsFresh(now time.Time, within time.Duration) bool {
+	return c.loaded && now.Sub(c.confirmedAt) < within
+}
+
+// IsCurrent reports whether every job that was accepted before the given time is known here.
+func (c *Core) IsCurrent(since time.Time) bool { return c.loaded && !c.confirmedAt.Before(since) }
+
+// Accept stores a new job. The request is answered once the job is stored or refused.
+func (c *Core) Accept(now time.Time, id RequestID, name string, row *Row) {
+	c.now = now
+	j := c.jobs[name]
+	switch {
+	case j != nil && j.version > 0:
+		c.answer(id, errkind.OK)
+	case j != nil:
+		j.insertRequests = append(j.insertRequests, id)
+	case !c.loaded:
+		c.refuse(id, name, row.Queue, errkind.StoreUnavailable, "the stored jobs are not read yet")
+	case c.OpenJobs() >= c.settings.MaxOpenJobs:
+		c.refuse(id, name, row.Queue, errkind.Overloaded, "too many open jobs")
+	default:
+		row.Owner = c.settings.Self
+		row.Epoch = 1
+		j = &job{name: name, row: row, insertRequests: []RequestID{id}}
+		c.addJob(j)
+		c.sendWrite(j, *row, 0, true)
+	}
+}
+
+// Cancel cancels a job. The request is answered once the cancellation is stored or has failed. A job
+// that is unknown here may have been accepted by another entry until requestedAt, when the request
+// arrived.
+func (c *Core) Cancel(now time.Time, id RequestID, name string, requestedAt time.Time) {
+	c.now = now
+	j := c.jobs[name]
+	switch {
+	case j == nil && !c.IsCurrent(requestedAt):
+		c.answer(id, errkind.StoreUnavailable)
+	case j == nil:
+		c.answer(id, errkind.NotFound)
+	case j.row.State == batch.JobCancelled:
+		c.answer(id, errkind.OK)
+	case j.row.State.Ended():
+		c.answer(id, errkind.NotFound)
+	default:
+		j.cancelRequests = append(j.cancelRequests, id)
+		c.sendNextWrite(j)
+	}
+}
+
+// State returns the stored state of a job, and whether the job is known.
+func (c *Core) State(name string) (batch.JobState, bool) {
+	j := c.jobs[name]
+	if j == nil || j.version == 0 {
+		return batch.JobQueued, false
+	}
+	return j.row.State, true
+}
+
+// QueuedJobs returns the number of jobs in a queue none of whose tasks is known to have begun.
+func (c *Core) QueuedJobs(queue string) int {
+	n := 0
+	for _, j := range c.active {
+		if j.version > 0 && j.row.Queue == queue && j.row.State == batch.JobQueued {
+			n++
+		}
+	}
+	return n
+}
+
+// ResolveEnd decides on the end of a run whose job this entry does not run. The end is acknowledged
+// if no entry needs it, so the agent may forget it. It is void if the job may have ended by another
+// run of the same task. If neither is set, the agent keeps the end until the owner of the job
+// acknowledges it.
+//
+// A job that is unknown here may just have been accepted by another entry. Its row was stored
+// before the run began, so a poll of the changes that is sent after the first question shows it.
+// Until such a poll is answered, neither is set.
+func (c *Core) ResolveEnd(now time.Time, end runs.End) (acked, void bool) {
+	c.now = now
+	j := c.jobs[end.Key.Job()]
+	switch {
+	case j == nil:
+		return c.isConfirmedAbsent(end.Key.Job()), false
+	case !j.row.State.Ended():
+		return false, false
+	case j.row.State == batch.JobCancelled, end.Outcome != runs.OutcomeDone && end.Outcome != runs.OutcomeFailed, j.row.isCompletingRun(end.Key):
+		return true, false
+	}
+	return false, true
+}
+
+// isCompletingRun reports whether a run is the one that completed its task.
+func (r *Row) isCompletingRun(key runs.Key) bool {
+	for _, p := range r.Progress {
+		if key.Task == batch.TaskName(key.Job(), p.Step, p.Index) {
+			return key.Run == p.Run
+		}
+	}
+	return false
+}
+
+// isConfirmedAbsent reports whether a job that is unknown here certainly has no row.
+func (c *Core) isConfirmedAbsent(name string) bool {
+	asked, before := c.unknownSince[name]
+	if !before {
+		c.unknownSince[name] = c.now
+		return false
+	}
+	return c.loaded && c.confirmedAt.After(asked)
+}
+
+func (c *Core) answer(id RequestID, kind errkind.Kind) {
+	c.out.Answers = append(c.out.Answers, Answer{Request: id, Kind: kind})
+}
+
+func (c *Core) refuse(id RequestID, name, queue string, kind errkind.Kind, reason string) {
+	c.answer(id, kind)
+	c.out.Decisions = append(c.out.Decisions, Decision{Event: "refuse", Job: name, Queue: queue, Reason: reason, ConfirmationAge: c.now.Sub(c.confirmedAt)})
+}
--- a/core/runner/description_test.go
+++ b/core/runner/description_test.go
@@ -130,19 +130,33 @@
 }
 
 // TestDescriptionIsRepeatedWithinHeartbeats guards against an entry that keeps a wrong belief for
-// good, and against additional messages of an idle agent.
+// good, and against additional messages of an idle agent, whatever the number of its links.
 func TestDescriptionIsRepeatedWithinHeartbeats(t *testing.T) {
-	h := newHarness(t)
-	messages, describedAt := 0, start
-	for now := start; now.Before(after(60_000)); now = now.Add(50 * time.Millisecond) {
-		h.Tick(now)
-		for _, s := range h.Flush(now).Sends {
-			messages++
-			if s.Msg.Worker != nil {
-				describedAt = now
+	for _, links := range []LinkID{1, 6} {
+		h := newHarness(t)
+		describedAt := make(map[LinkID]time.Time)
+		for id := LinkID(1); id <= links; id++ {
+			if id > 1 {
+				h.LinkUp(start, id, runs.Entry{Address: fmt.Sprintf("e:%d", id), Incarnation: uint64(100 + id)})
 			}
+			describedAt[id] = start
+		}
+		h.Flush(start)
+		messages := make(map[LinkID]int)
+		for now := start; now.Before(after(60_000)); now = now.Add(50 * time.Millisecond) {
+			h.Tick(now)
+			for _, s := range h.Flush(now).Sends {
+				messages[s.Link]++
+				if s.Msg.Worker != nil {
+					describedAt[s.Link] = now
+				}
+			}
+			for _, at := range describedAt {
+				h.is.True(now.Sub(at) <= descriptionInterval+h.settings.IdleHeartbeatInterval)
+			}
+		}
+		for id := LinkID(1); id <= links; id++ {
+			h.is.Equal(messages[id], 59) // one heartbeat a second, the first after one second
 		}
-		h.is.True(now.Sub(describedAt) <= descriptionInterval+h.settings.IdleHeartbeatInterval)
 	}
-	h.is.Equal(messages, 59) // one heartbeat a second, the first after one second
 }
