review: case 5, two runs of one task after two changes of its owner

Found by reading core/ledger: the wait that a takeover from a silent owner begins is known to the process of the new owner only, so that the next owner forgets it. The script needs a freeze, a kill and a store that turns one entry away.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# A job changes its owner twice while its first owner cannot reach the store. See claim.txt.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+[ -x target/review-rig ] || { echo "run review/build-2.sh first"; exit 2; }
+exec target/review-rig chain "$here/record.txt"
