--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -68,7 +68,7 @@
 	if err := d.chooseAddresses(); err != nil {
 		return nil, err
 	}
-	d.putConfig(1)
+	d.putConfig(1, queueName, queuePrefix)
 	for i := range entryCount {
 		p, err := d.newProcess("frontend", i, "target/peridotpick", "dispatch")
 		if err != nil {
@@ -118,11 +118,11 @@
 }
 
 // putConfig writes a configuration with one queue.
-func (d *deployment) putConfig(version int) {
+func (d *deployment) putConfig(version int, name, prefix string) {
 	raw, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": queueName, "host": queueHost, "path_prefix": queuePrefix, "service": serviceName, "priority": 0, "max_attempts": 3,
+			"name": name, "host": queueHost, "path_prefix": prefix, "service": serviceName, "priority": 0, "max_attempts": 3,
 			"stretch": 1.6, "target_latency_ms": 60,
 		}},
 		"services": []map[string]any{{"name": serviceName, "admission_check": false}},
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,9 +15,11 @@
 type play func(d *deployment, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"reload":       playReload,
-	"lost-machine": playLostMachine,
-	"chain":        playChain,
+	"reload":        playReload,
+	"lost-machine":  playLostMachine,
+	"cancelled":     playCancelled,
+	"chain":         playChain,
+	"dropped-route": playDroppedRoute,
 }
 
 func main() {
