--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"slices"
 	"sort"
@@ -154,7 +155,8 @@
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	away, turned := e.state()
 	if away {
-		panic(http.ErrAbortHandler) // closes the connection
+		resetConnection(w)
+		return
 	}
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
@@ -168,6 +170,18 @@
 	e.store.serve(w, req.WithContext(ctx))
 }
 
+// resetConnection resets the connection of a call, without an answer.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (s *store) serve(w http.ResponseWriter, req *http.Request) {
 	status, body := http.StatusNotFound, any(nil)
 	switch req.URL.Path {
@@ -179,7 +193,8 @@
 		status, body = s.feed(req)
 	}
 	if req.Context().Err() != nil {
-		panic(http.ErrAbortHandler)
+		resetConnection(w)
+		return
 	}
 	s.mu.Lock()
 	s.calls[req.URL.Path+" "+strconv.Itoa(status)]++
