core/batch: an entry closes the link of a silent agent

Cause: only LinkDown has runs replaced, and nothing on the entry's side closed a silent link; the agent's side does, but that side was gone. Ruled out: leases and placing, since a broken link gives new runs.

Change: a link without a message for SilenceTimeout is closed and handled as a broken one; the runs are replaced once the leases counted from the last message sent there have expired. A suspension of the entry does not count. Stopping a link no longer waits in the event loop for the stream to close, which a blocked send delays.

--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -47,7 +47,7 @@
 	need room.Resources
 }
 
-// lostAgent is an agent whose link broke.
+// lostAgent is an agent whose link broke or was silent.
 type lostAgent struct {
 	// runsOverAt is when all runs of this entry at the agent are certainly over.
 	runsOverAt time.Time
@@ -123,8 +123,34 @@
 	if a == nil {
 		return
 	}
-	c.agents.Delete(id)
-	c.forgetReservationsAt(id)
+	reason := "link closed"
+	if a.worker.Released {
+		reason = "works with other entries"
+	}
+	c.loseAgent(a, reason)
+}
+
+// closeSilentLinks closes the links on which nothing has arrived for SilenceTimeout. A machine without
+// power closes none, and TCP gives a connection up after a quarter of an hour only. The time in which
+// this entry was suspended does not count.
+func (c *Core) closeSilentLinks() {
+	for id, a := range c.agents.All() {
+		heardAt := a.lastReceivedAt
+		if heardAt.Before(c.resumedAt) {
+			heardAt = c.resumedAt
+		}
+		if c.now.Sub(heardAt) < c.settings.SilenceTimeout {
+			continue
+		}
+		c.out.CloseLinks = append(c.out.CloseLinks, id)
+		c.loseAgent(a, "silent")
+	}
+}
+
+// loseAgent handles that a link is gone for the given reason.
+func (c *Core) loseAgent(a *agent, reason string) {
+	c.agents.Delete(a.link)
+	c.forgetReservationsAt(a.link)
 	if a.worker.Agent == "" {
 		return
 	}
@@ -132,11 +158,7 @@
 	if old := c.lostAgents.Get(a.worker.Agent); old == nil || old.runsOverAt.Before(runsOverAt) {
 		c.lostAgents.Put(a.worker.Agent, &lostAgent{runsOverAt: runsOverAt})
 	}
-	reason := "link closed"
-	if a.worker.Released {
-		reason = "works with other entries"
-	}
-	c.logDecision(Decision{Event: "agent lost", Agent: a.worker.Agent, Worker: a.worker.ID, Reason: reason, Age: now.Sub(a.lastReceivedAt)})
+	c.logDecision(Decision{Event: "agent lost", Agent: a.worker.Agent, Worker: a.worker.ID, Reason: reason, Age: c.now.Sub(a.lastReceivedAt)})
 }
 
 // Receive handles a message of an agent.
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -54,7 +54,8 @@
 	// HeartbeatInterval is the heartbeat interval on links to agents with runs,
 	// IdleHeartbeatInterval that on other links.
 	HeartbeatInterval, IdleHeartbeatInterval time.Duration
-	// SilenceTimeout is the time without a message from an agent after which it gets no new runs.
+	// SilenceTimeout is the time without a message from an agent after which it gets no new runs and
+	// its link is closed.
 	SilenceTimeout time.Duration
 	// SuspensionThreshold is the gap between two events above which the entry is taken to have been
 	// suspended.
@@ -135,7 +136,7 @@
 type Output struct {
 	Sends   []Send
 	Answers []Answer
-	// CloseLinks lists links to close because the agent has opened another one.
+	// CloseLinks lists links to close because the agent has opened another one or is silent.
 	CloseLinks []LinkID
 	// Decisions lists the decisions in order.
 	Decisions []Decision
@@ -219,6 +220,8 @@
 	// current plan.
 	planCount      uint64
 	planCandidates []*agent
+	// resumedAt is the end of the last suspension.
+	resumedAt time.Time
 	// settledAt is the time until which new jobs are refused after a suspension.
 	settledAt time.Time
 	// startedAt is the time of the first event.
@@ -268,6 +271,7 @@
 
 // resume handles a suspension of the given length.
 func (c *Core) resume(gap time.Duration) {
+	c.resumedAt = c.now
 	c.settledAt = c.now.Add(c.settings.SettleTime)
 	c.enoughAgentsAt = c.now // agents have closed their links meanwhile and need time to reconnect
 	c.logDecision(Decision{Event: "suspended", Age: gap})
@@ -294,6 +298,7 @@
 // Tick handles deadlines, expired leases and everything else that depends on time alone.
 func (c *Core) Tick(now time.Time) {
 	c.Advance(now)
+	c.closeSilentLinks()
 	c.expireLost()
 	c.updateMedianSlowness()
 	for j := range c.jobs.Values() {
--- a/service/batch/link.go
+++ b/service/batch/link.go
@@ -24,6 +24,15 @@
 	stop  context.CancelFunc
 }
 
+// newLink returns the link of a stream. Its stop does not block: closing a stream waits for a send in
+// progress, which an agent that reads nothing blocks.
+func newLink(stream runs.EntryStream, cancel context.CancelFunc) *link {
+	return &link{id: core.LinkID(lastLinkID.Add(1)), queue: make(chan *runs.ToAgent, linkQueueSize), stop: func() {
+		cancel()
+		go func() { _ = stream.Close() }() // the link is given up in any case
+	}}
+}
+
 // enqueue queues a message for sending. If the queue is full, the agent is too slow and the link is
 // closed.
 func (l *link) enqueue(msg *runs.ToAgent) {
@@ -41,10 +50,7 @@
 	}
 	ctx, stop := context.WithCancel(stream.Context())
 	defer stop()
-	l := &link{id: core.LinkID(lastLinkID.Add(1)), queue: make(chan *runs.ToAgent, linkQueueSize), stop: func() {
-		stop()
-		_ = stream.Close()
-	}}
+	l := newLink(stream, stop)
 	e.post(func(c *core.Core, now time.Time) {
 		e.links[l.id] = l
 		c.LinkUp(now, l.id)
