--- a/core/ledger/takeover_test.go
+++ b/core/ledger/takeover_test.go
@@ -15,7 +15,7 @@
 	replaced = runs.Entry{Address: other.Address, Incarnation: 4} // the process after other
 )
 
-// takeOverOnce has an entry take a job over while the given entries were alive at first. It returns the entry's
+// takeOverOnce has an entry take a job over; the given entries are alive at first. It returns the entry's
 // core, the row that it has written and how long it waits before it starts the job.
 func takeOverOnce(t *testing.T, entry runs.Entry, row StoredRow, alive ...runs.Entry) (*Core, StoredRow, time.Duration) {
 	t.Helper()
