model/takeover: any earlier process may be gone; a test shorter

Reading the change again: the model let only the present owner's process and the one before be gone, so that the owner that may have runs stayed alive two takeovers later. No product code.

--- a/core/batch/silence_test.go
+++ b/core/batch/silence_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -66,12 +67,15 @@
 	h, busy, idle := newSilenceHarness(t)
 	h.hearFrom(idle, after(1700))
 	const newLink = 7
+	report := func(ms int) {
+		h.receiveReport(after(ms), newLink, func(m *runs.ToEntry) { m.Worker.Agent, m.Worker.ID = fmt.Sprintf("a%d", busy), workerID(busy) })
+	}
 	h.LinkUp(after(1800), newLink)
-	h.receiveReport(after(1800), newLink, func(m *runs.ToEntry) { m.Worker.Agent, m.Worker.ID = "a"+workerID(busy)[1:], workerID(busy) })
+	report(1800)
 	out := h.flush(after(1800))
 	h.is.Equal(len(out.Sends[0].Msg.Owned), 1)
 	for ms := 1850; ms < 5000; ms += 50 {
-		h.receiveReport(after(ms), newLink, func(m *runs.ToEntry) { m.Worker.Agent, m.Worker.ID = "a"+workerID(busy)[1:], workerID(busy) })
+		report(ms)
 		starts, _ := h.hearFrom(idle, after(ms))
 		h.is.Equal(len(starts), 0)
 	}
--- a/model/takeover.pml
+++ b/model/takeover.pml
@@ -17,7 +17,6 @@
 byte runsLeft[OWNERS + 1];  /* ticks until runs of an owner that has lost the job are over */
 byte wait = 0;              /* ticks until the present owner may start */
 
-
 /* The owner whose runs may still go on when the present one is lost. */
 #define STARTER (startedEpoch)
 
@@ -41,18 +40,18 @@
 }
 
 proctype Change() {
+  byte i;
   do
      /* another entry takes the job over */
   :: atomic { epoch < OWNERS ->
        lose(epoch);
        wait = WAIT_FOR;
        epoch++ }
-     /* a process is gone: its runs end with the leases */
-  :: atomic { epoch < OWNERS && !gone[epoch] -> gone[epoch] = true }
-  :: atomic { epoch > 1 && !gone[epoch - 1] ->
-       gone[epoch - 1] = true;
+     /* the process of any owner so far is gone: its runs end with the leases */
+  :: atomic { select (i : 1 .. epoch);
+       gone[i] = true;
        if
-       :: runsLeft[epoch - 1] > EXPIRY -> runsLeft[epoch - 1] = EXPIRY
+       :: runsLeft[i] > EXPIRY -> runsLeft[i] = EXPIRY
        :: else
        fi }
      /* the present owner starts the task once it has waited */
@@ -65,7 +64,7 @@
        :: wait > 0 -> wait--
        :: else
        fi;
-       byte i = 1;
+       i = 1;
        do
        :: i <= OWNERS ->
           if
