core/batch: log for what a durable job waits

Change: a step whose requirement (service, label, room) no candidate meets is logged once as "wait" with that requirement, and as "wait over" when one does. What a task requires of a worker is now a type, runs.Requirement, with one check for it; placing uses the same check as before.

Test: TestWaitForWorkerOutOfReachIsLogged.

--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -166,6 +166,8 @@
 	Worker  string
 	Outcome runs.Outcome
 	Reason  string
+	// Requires is what a waiting task requires of a worker.
+	Requires string
 	// Age is the age of the load report or the time that a run or job has taken. Expected is the
 	// expected time to the end and Wait the part of it before the start. Slack is how long the job
 	// could wait.
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -50,6 +50,8 @@
 	estimate  time.Duration
 	tasks     []*task
 	openTasks int
+	// outOfReach is set while no linked worker is known that meets the requirement of the tasks.
+	outOfReach bool
 	// reservations are those for the waiting tasks.
 	reservations []*reservation
 }
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -78,6 +78,9 @@
 			if t.state != taskWaiting || t.isBlocked() {
 				continue
 			}
+			if s.outOfReach {
+				c.noteReach(j, s)
+			}
 			c.planTask(&p, t)
 			if limit > 0 && p.dropLastOverLimit(limit) {
 				break
@@ -146,6 +149,7 @@
 	}
 	if best == nil {
 		p.missing++
+		c.noteReach(t.job, t.step)
 		return
 	}
 	c.plannedLoadOf(best).add(t.step)
@@ -171,10 +175,7 @@
 // isAllowed reports whether a task may run on an agent's worker, whatever the wait.
 func (c *Core) isAllowed(t *task, a *agent, planned *plannedLoad) bool {
 	s := t.step
-	if !a.worker.Capacity.Fits(s.Need) {
-		return false
-	}
-	if s.Requires != "" && !slices.Contains(a.worker.Labels, s.Requires) {
+	if !a.worker.Meets(s.requirement(t.job.queue.Service)) {
 		return false
 	}
 	if s.AntiAffinity > 0 && planned.tasksByStep[s]+c.countPlacedOn(s, a.link) >= s.AntiAffinity {
--- /dev/null
+++ b/core/batch/reach_test.go
@@ -0,0 +1,41 @@
+package batch
+
+import (
+	"testing"
+
+	"peridotpick.example/wire/runs"
+)
+
+// requiring returns an edit that makes the tasks of a durable job require a label.
+func requiring(label string) func(*DurableJob) {
+	return func(d *DurableJob) { d.Steps[0].Requires = label }
+}
+
+// decisionsOf returns the decisions in an output with one of the given events.
+func decisionsOf(out Output, events ...string) []Decision {
+	var list []Decision
+	for _, d := range out.Decisions {
+		for _, e := range events {
+			if d.Event == e {
+				list = append(list, d)
+			}
+		}
+	}
+	return list
+}
+
+// TestWaitForWorkerOutOfReachIsLogged guards against kept jobs that wait without a line that says for
+// what: none of the linked workers has the label that the job requires.
+func TestWaitForWorkerOutOfReachIsLogged(t *testing.T) {
+	h := newHarness(t, 2)
+	waits := decisionsOf(h.own(begin, 1, 2, requiring("r1")), "wait")
+	h.is.Equal(len(waits), 1)
+	h.is.Equal(waits[0].Job, jobName(1))
+	h.is.Equal(waits[0].Requires, "service s, cpu 1000, memory 10, gpu 0, label r1")
+	h.Tick(after(100))
+	h.is.Equal(len(decisionsOf(h.flush(after(100)), "wait", "wait over")), 0) // once only
+	h.receiveReport(after(150), 1, func(m *runs.ToEntry) { m.Worker.Labels = []string{"r1"} })
+	out := h.flush(after(150))
+	h.is.Equal(len(decisionsOf(out, "wait over")), 1)
+	h.is.Equal(len(startsByLink(out)[1]), 2)
+}
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -327,6 +327,7 @@
 	addString("agent", decision.Agent)
 	addString("worker", decision.Worker)
 	addString("reason", decision.Reason)
+	addString("requires", decision.Requires)
 	addDuration("age", decision.Age)
 	addDuration("expected", decision.Expected)
 	addDuration("wait", decision.Wait)
