core/batch: jobs out of reach no longer hold up others

Cause: placeBacklog ends a scan after backlogScanMisses jobs without room, and a job that nobody can take counted as one. Ruled out by the test: room (both workers are idle) and ownership (confirmed).

Change: a step whose requirement no candidate meets is marked and left out of plans and scans; the marks are checked when an agent describes its worker and every 250 ms.

--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -175,6 +175,7 @@
 	}
 	if msg.Worker != nil {
 		c.updateWorker(a, msg.Worker)
+		c.updateOutOfReach()
 	}
 	if msg.Load != nil {
 		a.updateLoad(now, msg.Load)
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -243,6 +243,7 @@
 	backlogScannedAt time.Time
 	// backlogScans is the number of scans of the backlog.
 	backlogScans int
+	reach        reachState
 	now          time.Time
 	out          Output
 }
@@ -303,6 +304,9 @@
 	c.closeSilentLinks()
 	c.expireLost()
 	c.updateMedianSlowness()
+	if c.now.Sub(c.reach.checkedAt) >= reachInterval {
+		c.updateOutOfReach()
+	}
 	for j := range c.jobs.Values() {
 		c.checkDeadline(j)
 	}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -50,7 +50,8 @@
 	estimate  time.Duration
 	tasks     []*task
 	openTasks int
-	// outOfReach is set while no linked worker is known that meets the requirement of the tasks.
+	// outOfReach is set while the tasks, which are those of a durable job, are not placed because no
+	// linked worker meets their requirement.
 	outOfReach bool
 	// reservations are those for the waiting tasks.
 	reservations []*reservation
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -71,18 +71,15 @@
 	p.slack = j.slackLeft(c.now)
 	for i := range j.steps {
 		s := &j.steps[i]
-		if s.openTasks == 0 || !j.isReady(s) {
+		if s.openTasks == 0 || s.outOfReach || !j.isReady(s) {
 			continue
 		}
 		for _, t := range s.tasks {
 			if t.state != taskWaiting || t.isBlocked() {
 				continue
 			}
-			if s.outOfReach {
-				c.noteReach(j, s)
-			}
 			c.planTask(&p, t)
-			if limit > 0 && p.dropLastOverLimit(limit) {
+			if s.outOfReach || limit > 0 && p.dropLastOverLimit(limit) {
 				break
 			}
 		}
@@ -149,7 +146,7 @@
 	}
 	if best == nil {
 		p.missing++
-		c.noteReach(t.job, t.step)
+		c.noteMissing(t.job, t.step)
 		return
 	}
 	c.plannedLoadOf(best).add(t.step)
@@ -175,7 +172,7 @@
 // isAllowed reports whether a task may run on an agent's worker, whatever the wait.
 func (c *Core) isAllowed(t *task, a *agent, planned *plannedLoad) bool {
 	s := t.step
-	if !a.worker.Meets(s.requirement(t.job.queue.Service)) {
+	if !a.worker.Meets(t.job.requirement(s)) {
 		return false
 	}
 	if s.AntiAffinity > 0 && planned.tasksByStep[s]+c.countPlacedOn(s, a.link) >= s.AntiAffinity {
--- a/core/batch/reach.go
+++ b/core/batch/reach.go
@@ -1,14 +1,27 @@
 package batch
 
-import "peridotpick.example/wire/runs"
+import (
+	"time"
 
-// requirement returns what the tasks of a step require of a worker of a service.
-func (s *step) requirement(service string) runs.Requirement {
-	return runs.Requirement{Service: service, Label: s.Requires, Need: s.Need}
+	"peridotpick.example/wire/runs"
+)
+
+// reachInterval is the time between two checks of what no linked worker meets.
+const reachInterval = 250 * time.Millisecond
+
+// reachState is what the core knows of requirements that linked workers do not meet.
+type reachState struct {
+	// checkedAt is when the steps out of reach were last checked; hasSteps is set if there were any.
+	checkedAt time.Time
+	hasSteps  bool
+}
+
+// requirement returns what the tasks of a step require of a worker.
+func (j *job) requirement(s *step) runs.Requirement {
+	return runs.Requirement{Service: j.queue.Service, Label: s.Requires, Need: s.Need}
 }
 
-// isInReach reports whether some candidate could run a task with the given requirement, whatever its
-// load.
+// isInReach reports whether the worker of some candidate meets a requirement, whatever its load.
 func isInReach(candidates []*agent, r runs.Requirement) bool {
 	for _, a := range candidates {
 		if a.worker.Meets(r) {
@@ -18,21 +31,49 @@
 	return false
 }
 
-// noteReach logs that a step of a durable job waits because no candidate of the current plan meets
-// its requirement, or that one does again.
-func (c *Core) noteReach(j *job, s *step) {
-	if j.durable == nil {
+// noteMissing handles that no candidate of the current plan may run a task. If none could whatever its
+// load, the step of a durable job waits until one is linked.
+func (c *Core) noteMissing(j *job, s *step) {
+	r := j.requirement(s)
+	if j.durable != nil && !isInReach(c.planCandidates, r) {
+		s.outOfReach = true
+		c.reach.hasSteps = true
+		c.logDecision(Decision{Event: "wait", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: "no linked worker meets the requirement", Requires: r.String()})
+	}
+}
+
+// updateOutOfReach checks which steps of durable jobs are still out of reach.
+func (c *Core) updateOutOfReach() {
+	c.reach.checkedAt = c.now
+	if !c.reach.hasSteps {
 		return
 	}
-	r := s.requirement(j.queue.Service)
-	outOfReach := !isInReach(c.planCandidates, r)
-	if outOfReach == s.outOfReach {
+	c.reach.hasSteps = false
+	candidates := make(map[string][]*agent)
+	for j := range c.jobs.Values() {
+		if j.durable == nil || j.ended {
+			continue
+		}
+		service := j.queue.Service
+		if _, known := candidates[service]; !known {
+			candidates[service] = c.candidates(service)
+		}
+		for i := range j.steps {
+			c.updateStep(j, &j.steps[i], candidates[service])
+		}
+	}
+}
+
+// updateStep checks whether a step is still out of reach.
+func (c *Core) updateStep(j *job, s *step, candidates []*agent) {
+	if !s.outOfReach {
 		return
 	}
-	s.outOfReach = outOfReach
-	d := Decision{Event: "wait", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: "no linked worker meets the requirement", Requires: r.String()}
-	if !outOfReach {
-		d.Event, d.Reason = "wait over", "a linked worker meets the requirement"
+	r := j.requirement(s)
+	if isInReach(candidates, r) {
+		s.outOfReach = false
+		c.logDecision(Decision{Event: "wait over", Job: j.name, Queue: j.queue.Name, Version: j.version, Reason: "a linked worker meets the requirement", Requires: r.String()})
+		return
 	}
-	c.logDecision(d)
+	c.reach.hasSteps = true
 }
--- a/core/batch/reach_test.go
+++ b/core/batch/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"peridotpick.example/wire/runs"
 )
@@ -39,3 +40,21 @@
 	h.is.Equal(len(decisionsOf(out, "wait over")), 1)
 	h.is.Equal(len(startsByLink(out)[1]), 2)
 }
+
+// TestJobsOutOfReachDoNotHoldUpOthers guards against a durable job that is never started although a
+// worker is free for it: new jobs that no linked worker can take use up each scan of the backlog.
+func TestJobsOutOfReachDoNotHoldUpOthers(t *testing.T) {
+	h := newHarness(t, 2)
+	started := 0
+	for ms := 10; ms <= 4000; ms += 10 {
+		outs := []Output{h.own(after(ms), 10+ms, 1, requiring("nowhere"))}
+		if ms == 500 {
+			outs = append(outs, h.own(after(ms), 1, 1, func(d *DurableJob) { d.Steps[0].Estimate = 400 * time.Millisecond }))
+		}
+		h.Tick(after(ms))
+		for _, out := range append(outs, h.flush(after(ms))) {
+			started += len(startsByLink(out)[0]) + len(startsByLink(out)[1])
+		}
+	}
+	h.is.Equal(started, 1)
+}
