core/reach: agents of other entries are asked for workers out of reach

Cause: an entry places tasks only at linked agents, and an agent chooses its six entries whatever its worker is. Nothing noticed a requirement that no linked worker meets; "short of agents" counts agents. Evidence: "route: wait" at exactly the five jobs that were never begun. Ruled out: placing, ownership and the store (the other 27 jobs, same entries and partitions).

Change: an entry announces such a requirement (service, label, room) in its record of the exchange. Entries ask those of their agents whose worker meets it; a bound on a score per agent and entry, raised by four every 0.3 s, makes few answer. The entry keeps the agent by a flag in its own messages. At most 16 requirements are announced, 256 remembered, minimal ones first; a lack that nobody meets is repeated at 2 s, 4 s, up to every 2 minutes. An awaited job of which a step is out of reach is refused at once, with Retry-After of 1 s, or of 10 s when all agents were asked in vain.

Why it works: it follows the state "no linked worker could", whatever brought it about: more entries than links, a drain, a loss, an ejection, a change of the worker (TestLossOfTheOnlyCapableWorkerIsALack).

Other ways and why not: docs/design/platform.md.

--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -32,6 +32,9 @@
 // any of its tasks starts: it would use resources that others need to meet theirs.
 func (c *Core) admit(j *job) (plan, *refusal) {
 	p := c.planJob(j)
+	if r := c.checkReach(j); r != nil {
+		return p, r
+	}
 	return p, c.checkAdmission(j, &p)
 }
 
--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -35,6 +35,10 @@
 	probedAt time.Time
 	// drainsSentAt is when the agent was last sent the view of the drained data centres.
 	drainsSentAt time.Time
+	// neededAt is when a task last needed the worker of an agent that has linked on demand.
+	neededAt time.Time
+	// told are the newest asks of other entries that the agent was sent, by their address.
+	told map[string]told
 	// planned is what the plan with the number plannedIn has assigned to the agent.
 	planned   plannedLoad
 	plannedIn uint64
@@ -216,10 +220,13 @@
 	if w.ID == "" || w.Draining || w.Released {
 		c.forgetReservationsAt(a.link)
 	}
+	c.keepIfLacking(a)
 	if a.registered {
+		c.passOnAsks(a)
 		return
 	}
 	a.registered = true
+	c.passOnAsks(a)
 	c.markDirty(a)
 	c.closePreviousLinks(a)
 	a.out.Owned = []runs.OwnedRun{}
@@ -342,6 +349,7 @@
 	}
 	msg := a.out
 	msg.Clock = a.clock + int64(c.now.Sub(a.clockAt))
+	msg.Needed = a.isNeeded(c.now)
 	c.addDrains(a, &msg)
 	a.out = runs.ToAgent{}
 	a.dirty = false
--- a/core/batch/drains.go
+++ b/core/batch/drains.go
@@ -24,6 +24,7 @@
 	}
 	for a := range c.agents.Values() {
 		a.drainsSentAt = time.Time{}
+		c.passOnAsks(a)
 		c.markDirty(a)
 	}
 	c.placeWaiting()
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -149,6 +149,7 @@
 		c.noteMissing(t.job, t.step)
 		return
 	}
+	c.noteUse(best, t)
 	c.plannedLoadOf(best).add(t.step)
 	p.placements = append(p.placements, placement{task: t, agent: best, wait: bestWait, run: bestRun})
 	p.delay = max(p.delay, bestWait)
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -57,6 +57,9 @@
 	// Joined are the entries that are new or that have changed their own record, Gone the entries
 	// that are gone since this event.
 	Joined, Gone []runs.Entry
+	// Lacking are the records of the entries whose lacks have changed or were announced again, and of
+	// entries that are gone and lacked something.
+	Lacking []runs.Member
 }
 
 // New returns the view of an entry that knows no other entry.
@@ -79,6 +82,13 @@
 	return v.updateSelf(self, v.self.Serial)
 }
 
+// SetLacks sets what this entry lacks. Equal lacks are announced again.
+func (v *View) SetLacks(lacks []runs.Lack) Change {
+	self := v.self
+	self.Lacks = lacks
+	return v.updateSelf(self, v.self.Serial)
+}
+
 // updateSelf replaces the record of this entry and gives it the serial number above + 1.
 func (v *View) updateSelf(self runs.Member, above uint64) Change {
 	v.digest ^= fingerprint(v.self)
@@ -187,6 +197,9 @@
 	}
 	m.record, m.goneAt = r, now
 	ch.Records = append(ch.Records, r)
+	if len(r.Lacks)+len(old.Lacks) > 0 {
+		ch.Lacking = append(ch.Lacking, r)
+	}
 	switch {
 	case r.Gone && !old.Gone:
 		ch.Gone = append(ch.Gone, r.Entry)
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -80,6 +80,30 @@
 	is.True(!other.Alive()[1].ShortOfAgents)
 }
 
+// TestLacksAreAnnounced follows what an entry lacks: others hear of each change and each repetition,
+// and that the entry is gone or new.
+func TestLacksAreAnnounced(t *testing.T) {
+	is := is.New(t)
+	v, other := New(entry(1)), New(entry(2))
+	is.Equal(len(other.Merge(start, v.Records()).Lacking), 0)
+	lacks := []runs.Lack{{Requirement: runs.Requirement{Service: "s", Label: "r1"}, Limit: 3}}
+	ch := v.SetLacks(lacks)
+	// An entry that does not know of lacks passes the record on without them.
+	stripped := ch.Records[0]
+	stripped.Lacks = nil
+	is.Equal(len(other.Merge(start, []runs.Member{stripped}).Lacking), 0)
+	is.Equal(len(other.Merge(start, ch.Records).Lacking), 0)
+	got := other.Merge(start, v.SetLacks(lacks).Records)
+	is.Equal(len(got.Lacking), 1)
+	is.Equal(got.Lacking[0].Lacks, lacks)
+	is.Equal(len(got.Joined), 0)
+	is.Equal(len(other.Merge(start, v.SetLacks(nil).Records).Lacking), 1)
+	other.Merge(start, v.SetLacks(lacks).Records)
+	gone := other.MarkGone(start, entry(1).Address)
+	is.Equal(len(gone.Lacking), 1)
+	is.True(gone.Lacking[0].Gone)
+}
+
 // network is a set of views that exchange their records with their neighbours in rounds.
 type network struct {
 	views       map[string]*View
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -42,6 +42,8 @@
 	Shares Mechanism = "shares"
 	// RefusedBefore has a task avoid workers that refused it.
 	RefusedBefore Mechanism = "refused-before"
+	// AskForWorkers has agents of other entries link to an entry whose own ones cannot run a task.
+	AskForWorkers Mechanism = "ask-for-workers"
 )
 
 // Mechanisms of agents.
@@ -57,7 +59,7 @@
 // All returns the mechanisms in a fixed order.
 func All() []Mechanism {
 	return []Mechanism{
-		Yield, LearnedRunTimes, Spread, SlackBands, Pace, Probing, Restarting, RefusedBefore, Deferring, Reserving, Shares,
+		Yield, LearnedRunTimes, Spread, SlackBands, Pace, Probing, Restarting, RefusedBefore, Deferring, Reserving, Shares, AskForWorkers,
 		LeastSlack, Passing, Progress,
 	}
 }
--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -116,7 +116,7 @@
 	}
 	list := make([]scored, 0, len(known))
 	for _, e := range known {
-		list = append(list, scored{e, rendezvousScore(agent, e.Address)})
+		list = append(list, scored{e, Score(agent, e.Address)})
 	}
 	sort.Slice(list, func(i, k int) bool { return list[i].score > list[k].score })
 	ranked := make([]runs.Entry, 0, len(list))
@@ -126,7 +126,8 @@
 	return ranked
 }
 
-func rendezvousScore(agent, address string) uint64 { return xxh3.HashString(agent + "\x00" + address) }
+// Score returns the rendezvous score of an entry's address for an agent.
+func Score(agent, address string) uint64 { return xxh3.HashString(agent + "\x00" + address) }
 
 // Neighbours returns the addresses that an entry opens gossip streams to. On the ring of all known
 // addresses, ordered by their hashes, they are those 1, 2, 4, ... positions after self. Each entry
--- a/lab/emulator/agent.go
+++ b/lab/emulator/agent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotpick.example/common/ordered"
+	"peridotpick.example/core/reach"
 	"peridotpick.example/core/runner"
 	"peridotpick.example/wire/runs"
 )
@@ -65,6 +66,8 @@
 	announcementNumber   int
 	// registered is the worker as stored in the registry; the agent reads it when it starts.
 	registered runs.Worker
+	// asks are the entries that ask for the agent.
+	asks *reach.Asks
 	// drained are the drained data centres for which chosen was computed.
 	drained []string
 	// drainsQueriedAt is when the agent last queried the store for the drained data centres.
@@ -101,6 +104,7 @@
 	a.dead = false
 	a.polling = false
 	a.links = ordered.Map[runner.LinkID, *simLink]{}
+	a.asks = reach.NewAsks(a.worker.name)
 	settings := runner.DefaultSettings()
 	settings.Agent, settings.Policy = a.worker.name, config.policy
 	settings.OwnerLease, settings.WorkerLease, settings.PollWait = config.ownerLease, config.workerLease, config.pollWait
@@ -140,16 +144,16 @@
 }
 
 // updateLinkedEntries selects the entries to link to: the chosen ones, those that are short of
-// agents, and all while the agent has ends that it cannot deliver to their entry.
+// agents or ask for this one, and all while the agent has ends that it cannot deliver to their entry.
 func (a *agentProcess) updateLinkedEntries() {
 	if drained := a.core.DrainedDataCentres(); !slices.Equal(drained, a.drained) {
 		a.drained = drained
 		a.chosen = a.sim.config.chosenEntries(a.worker, drained)
 	}
-	all := a.core.HasUndeliveredEnds()
+	all, asking := a.core.HasUndeliveredEnds(), a.askingEntries()
 	entries := make(map[string]bool)
 	for _, e := range a.sim.entries {
-		if all || a.chosen[e.address] || !e.dead && e.core.IsShortOfAgents(!e.partitioned) {
+		if all || a.chosen[e.address] || asking[e.address] || !e.dead && e.core.IsShortOfAgents(!e.partitioned) {
 			entries[e.address] = true
 		}
 	}
--- a/lab/emulator/config.go
+++ b/lab/emulator/config.go
@@ -18,6 +18,9 @@
 	capacity func(n int) room.Resources
 	// rackSize is the number of consecutive workers in a rack.
 	rackSize int
+	// service and kind return the service of the n-th worker and the label of its kind; nil stands for
+	// serviceName and no such label.
+	service, kind func(n int) string
 	// resend is the time after which a caller whose connection broke submits its job again.
 	resend time.Duration
 	// ownerLease is an entry's lease at an agent, workerLease the lease that agents request from
--- a/lab/emulator/entry.go
+++ b/lab/emulator/entry.go
@@ -33,6 +33,11 @@
 	drains       drains.State
 	drainsReadAt time.Time
 	levelsSentAt time.Time
+	// lacks are what the entry lacks, with the serial number of the announcement; heardLacks are the
+	// newest announcements received, by the address of the other entry.
+	lacks       []runs.Lack
+	lacksSerial uint64
+	heardLacks  map[string]lacksHeard
 }
 
 func newEntryProcess(sim *simulation, address, dataCentre string) *entryProcess {
@@ -56,6 +61,7 @@
 	e.core = batch.New(settings)
 	e.drains, e.drainsReadAt = drains.State{}, time.Time{}
 	e.durableWaiters = make(map[ledger.RequestID]func(errkind.Kind))
+	e.lacks, e.lacksSerial, e.heardLacks = nil, 0, make(map[string]lacksHeard)
 	e.ledger = ledger.New(ledger.Settings{
 		Self: e.self, OwnershipTTL: config.ownershipTTL, RunExpiry: config.ownerLease + config.runEndTimeout, SilenceTimeout: config.entrySilenceTimeout,
 		EndedRetention: time.Hour, MaxOpenJobs: 1000,
--- a/lab/emulator/links.go
+++ b/lab/emulator/links.go
@@ -27,6 +27,7 @@
 	self := e.self
 	a.deliver(2*time.Millisecond+2*oneWay, func() {
 		a.links.Put(runner.LinkID(l.id), l)
+		a.asks.SetLinked(sim.now, e.address, true)
 		a.handleEvent(func() {
 			a.core.LinkUp(sim.now, runner.LinkID(l.id), self)
 			a.core.SetOnDemand(sim.now, runner.LinkID(l.id), !a.chosen[e.address])
@@ -74,6 +75,7 @@
 	l.open = false
 	l.agent.deliver(0, func() {
 		l.agent.links.Delete(runner.LinkID(l.id))
+		l.agent.asks.SetLinked(l.agent.sim.now, l.entry.address, false)
 		l.agent.handleEvent(func() { l.agent.core.LinkDown(l.agent.sim.now, runner.LinkID(l.id)) })
 	})
 	l.entry.deliver(time.Millisecond, func() {
@@ -97,6 +99,7 @@
 }
 
 func (l *simLink) sendToEntry(msg *runs.ToEntry) {
+	l.agent.sim.messages++
 	if l.dropsMessages {
 		return
 	}
@@ -111,6 +114,7 @@
 }
 
 func (l *simLink) sendToAgent(msg *runs.ToAgent) {
+	l.agent.sim.messages++
 	if l.dropsMessages {
 		return
 	}
@@ -120,6 +124,7 @@
 			return
 		}
 		l.lastToAgent = l.agent.sim.now
+		l.agent.receiveAsks(l, msg)
 		l.agent.handleEvent(func() { l.agent.core.Receive(l.agent.sim.now, runner.LinkID(l.id), msg) })
 	})
 }
--- a/lab/emulator/simulation.go
+++ b/lab/emulator/simulation.go
@@ -66,10 +66,12 @@
 	// pollsReliable is set if polls are answered also while orders are lost.
 	pollsReliable bool
 	// eventLog holds a line per logged event if logsEvents is set.
-	eventLog        []string
-	logsEvents      bool
-	nextLink        uint64
-	nextIncarnation uint64
+	eventLog   []string
+	logsEvents bool
+	nextLink   uint64
+	// messages counts the messages on links, announcements those between entries about what they lack.
+	messages, announcements int
+	nextIncarnation         uint64
 }
 
 // simulationStart is when virtual time begins.
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -177,6 +177,8 @@
 	}
 	e.ledger.RecordAlive(e.sim.now, list)
 	e.sendLevels(list)
+	e.announceLacks(list)
+	e.hearLacks(list)
 	e.ledger.Tick(e.sim.now)
 }
 
--- a/lab/emulator/worker.go
+++ b/lab/emulator/worker.go
@@ -36,7 +36,7 @@
 	r.speed, r.speedSince = speed, now
 }
 
-// serviceName is the only service of a simulation.
+// serviceName is the service of workers without another one.
 const serviceName = "s"
 
 // worker simulates a worker: capacity, leases, fencing, held ends and a clock of its own.
@@ -180,10 +180,17 @@
 }
 
 func (w *worker) info() runs.Worker {
-	return runs.Worker{
+	info := runs.Worker{
 		ID: w.id, Born: w.startedAtMillis, Agent: w.name, Service: serviceName, DataCentre: w.dataCentre, Capacity: w.capacity,
 		Labels: []string{w.rack}, Draining: w.draining,
 	}
+	if w.sim.config.service != nil {
+		info.Service = w.sim.config.service(w.number)
+	}
+	if w.sim.config.kind != nil {
+		info.Labels = append(info.Labels, w.sim.config.kind(w.number))
+	}
+	return info
 }
 
 // advance ends the runs whose work is done, whose stop is due or whose lease has expired.
--- a/service/batch/entry.go
+++ b/service/batch/entry.go
@@ -233,6 +233,8 @@
 	e.workers.Store(int64(e.core.UsableWorkers()))
 	e.peers.setLevels(e.core.Levels(now))
 	e.peers.setShort(e.core.IsShortOfAgents(e.peers.exchangeCount() > 0))
+	e.peers.announceLacks(now)
+	e.peers.announceLacks(now)
 	e.updateGauges()
 }
 
--- a/service/batch/peers.go
+++ b/service/batch/peers.go
@@ -46,6 +46,8 @@
 	view *membership.View
 	// levels are the levels of work that messages contain.
 	levels []runs.Level
+	// lacksSerial is the serial number of the newest lacks that were announced.
+	lacksSerial uint64
 	// candidates are the addresses found in the registry; they may be unreachable.
 	candidates map[string]bool
 	// registry tracks the rows that follow this entry's own.
@@ -351,6 +353,7 @@
 	if len(ch.Joined) > 0 {
 		p.entry.notifyAgents(ch.Joined)
 	}
+	p.handleLacks(ch)
 }
 
 // aliveEntries returns the live entries, this one first.
--- a/service/batch/peers_test.go
+++ b/service/batch/peers_test.go
@@ -105,7 +105,7 @@
 	t.Helper()
 	e, err := New(Settings{
 		Name: "e", Address: freeAddress(t), Seeds: seeds,
-		Core: core.Settings{DataCentre: "d", SuspensionThreshold: time.Hour, HeartbeatInterval: time.Second, IdleHeartbeatInterval: time.Second},
+		Core: core.Settings{DataCentre: "d", SuspensionThreshold: time.Hour, SilenceTimeout: time.Hour, HeartbeatInterval: time.Second, IdleHeartbeatInterval: time.Second},
 	}, Deps{Logs: logs.Discard(), Transport: transport.New(nil), Store: store, Metrics: metrics.NewRegistry()})
 	if err != nil {
 		t.Fatal(err)
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"peridotpick.example/common/boottime"
+	"peridotpick.example/core/reach"
 	core "peridotpick.example/core/runner"
 	"peridotpick.example/core/subset"
 	"peridotpick.example/service/transport"
@@ -35,6 +37,10 @@
 	mu    sync.Mutex
 	// contacts are the known entries by their address.
 	contacts map[string]*contact
+	// asks are the entries that lack what the worker has; they change with time alone at
+	// askExpiresAt.
+	asks         *reach.Asks
+	askExpiresAt time.Time
 	// undeliveredEnds is true while the agent keeps ends of runs that no linked entry has
 	// acknowledged. The event loop sets it. It is atomic because the event loop must not wait
 	// for mu, which is held while events are posted to the event loop.
@@ -54,7 +60,7 @@
 	// entry has an incarnation of 0 while only its address is known.
 	entry runs.Entry
 	// maintained is true while a goroutine maintains a link to the entry, wanted while the agent
-	// works with the entry, onDemand if it does so only because the entry is short of agents.
+	// works with the entry, onDemand if it does so only because the entry has asked for it.
 	maintained, wanted, onDemand bool
 	// link is the open link; nil if there is none.
 	link *link
@@ -64,7 +70,7 @@
 }
 
 func newDirectory(a *Agent) *directory {
-	return &directory{agent: a, contacts: make(map[string]*contact), wakeUp: make(chan struct{}, 1)}
+	return &directory{agent: a, contacts: make(map[string]*contact), asks: reach.NewAsks(a.settings.Name), wakeUp: make(chan struct{}, 1)}
 }
 
 // run chooses entries until ctx ends. While no link is open it also searches for entries.
@@ -133,7 +139,8 @@
 func (d *directory) chooseIfNeeded(ctx context.Context) {
 	drained, undelivered := d.agent.sharedDrains.dataCentres(), d.undeliveredEnds.Load()
 	d.mu.Lock()
-	valid := d.choiceValid && !undelivered && slices.Equal(drained, d.choiceDrained)
+	expired := !d.askExpiresAt.IsZero() && !boottime.Now().Before(d.askExpiresAt)
+	valid := d.choiceValid && !undelivered && !expired && slices.Equal(drained, d.choiceDrained)
 	d.choiceValid = true // a change during the choice resets it
 	d.mu.Unlock()
 	if valid {
@@ -163,8 +170,9 @@
 func (d *directory) choose(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	asking := d.addAskingEntries()
 	wanted := d.wantedAddresses()
-	onDemand := d.onDemandAddresses(wanted)
+	onDemand := d.onDemandAddresses(wanted, asking)
 	for address, c := range d.contacts {
 		d.setWanted(c, wanted[address] || onDemand[address], onDemand[address])
 		if c.wanted && !c.maintained && ctx.Err() == nil {
@@ -198,9 +206,42 @@
 	return wanted
 }
 
-// onDemandAddresses returns the addresses of entries to link to in addition to the wanted ones,
-// because they are short of agents. The caller holds mu.
-func (d *directory) onDemandAddresses(wanted map[string]bool) map[string]bool {
+// addAskingEntries returns the entries that ask for this agent, and adds those that are not known. The
+// caller holds mu.
+func (d *directory) addAskingEntries() []runs.Entry {
+	var list []runs.Entry
+	list, d.askExpiresAt = d.asks.Entries(boottime.Now())
+	for _, e := range list {
+		if d.contacts[e.Address] == nil {
+			d.contacts[e.Address] = &contact{entry: e}
+		}
+	}
+	return list
+}
+
+// receiveAsks handles what entries ask of this agent.
+func (d *directory) receiveAsks(list []runs.Ask) {
+	if len(list) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.asks.Receive(boottime.Now(), list) {
+		d.agent.log.Info().Str("entry", e.Address).Uint64("incarnation", e.Incarnation).Msg("agent: link asked for")
+	}
+	d.invalidateChoice()
+}
+
+// setNeeded records that an entry has said on its link that it needs this agent.
+func (d *directory) setNeeded(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asks.Needed(boottime.Now(), address)
+}
+
+// onDemandAddresses returns the addresses of entries to link to in addition to the wanted ones: those
+// that are short of agents, and the given ones that ask for this one. The caller holds mu.
+func (d *directory) onDemandAddresses(wanted map[string]bool, asking []runs.Entry) map[string]bool {
 	var short []runs.Entry
 	for address, c := range d.contacts {
 		if c.entry.ShortOfAgents && !wanted[address] {
@@ -211,6 +252,11 @@
 	for _, e := range subset.ChooseOnDemand(d.agent.settings.Name, short) {
 		chosen[e.Address] = true
 	}
+	for _, e := range asking {
+		if !wanted[e.Address] {
+			chosen[e.Address] = true
+		}
+	}
 	return chosen
 }
 
@@ -268,6 +314,7 @@
 	defer d.mu.Unlock()
 	if c := d.contacts[address]; c != nil {
 		c.link = l
+		d.asks.SetLinked(boottime.Now(), address, true)
 		d.reportLinkUse(c)
 		d.invalidateChoice()
 	}
@@ -279,6 +326,7 @@
 	defer d.mu.Unlock()
 	if c := d.contacts[address]; c != nil {
 		c.link = nil
+		d.asks.SetLinked(boottime.Now(), address, false)
 		c.lostAt = time.Now()
 		d.choiceValid = false
 	}
--- a/service/runner/directory_test.go
+++ b/service/runner/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -32,8 +33,8 @@
 	releases atomic.Int64
 	// onDemand is the newest value of Worker.OnDemand that the agent has sent.
 	onDemand atomic.Bool
-	// short is the value of Entry.Short in the hello.
-	short atomic.Bool
+	// short is the value of Entry.Short in the hello, needed that of ToAgent.Needed.
+	short, needed atomic.Bool
 	// knownEntries are the entries that it lists in the hello.
 	knownEntries []runs.Entry
 }
@@ -100,7 +101,7 @@
 		}
 	}()
 	for stream.Context().Err() == nil {
-		if err := stream.Send(&runs.ToAgent{Clock: 1}); err != nil {
+		if err := stream.Send(&runs.ToAgent{Clock: 1, Needed: e.needed.Load()}); err != nil {
 			return err
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -309,12 +310,7 @@
 	is := is.New(t)
 	a, fleet := startFleet(t, subset.MaxLinks+6)
 	waitFor(t, "the chosen entries are not linked", func() bool { return equalSets(linked(fleet), chosenEntries(fleet)) })
-	var other *fakeEntry
-	for _, e := range fleet {
-		if !chosenEntries(fleet)[e.self.Address] {
-			other = e
-		}
-	}
+	other := otherThanChosen(fleet)
 	other.short.Store(true)
 	short := other.self
 	short.ShortOfAgents = true
@@ -326,6 +322,52 @@
 	waitFor(t, "the link on demand is not closed", func() bool { return equalSets(linked(fleet), chosenEntries(fleet)) })
 }
 
+// otherThanChosen returns an entry that the agent of startFleet has not chosen.
+func otherThanChosen(fleet []*fakeEntry) *fakeEntry {
+	for _, e := range fleet {
+		if !chosenEntries(fleet)[e.self.Address] {
+			return e
+		}
+	}
+	return nil
+}
+
+// TestEntryThatAsksIsLinkedWhileItNeedsTheAgent checks that an agent links on demand to an entry that
+// lacks what its worker has, also if the entry is unreachable at first, and only as long as the entry
+// needs it.
+func TestEntryThatAsksIsLinkedWhileItNeedsTheAgent(t *testing.T) {
+	is := is.New(t)
+	a, fleet := startFleet(t, subset.MaxLinks+6)
+	waitFor(t, "the chosen entries are not linked", func() bool { return equalSets(linked(fleet), chosenEntries(fleet)) })
+	other := otherThanChosen(fleet)
+	other.stop()
+	a.directory.receiveAsks([]runs.Ask{{Entry: other.self, Serial: 1, Limit: math.MaxUint64}})
+	time.Sleep(time.Second)
+	other.needed.Store(true)
+	other.start()
+	waitFor(t, "the entry is not linked", func() bool { return other.links.Load() == 1 && other.onDemand.Load() })
+	time.Sleep(4 * time.Second) // longer than a link stays that is not needed
+	is.Equal(other.links.Load(), int64(1))
+	other.needed.Store(false)
+	waitFor(t, "the link on demand is not closed", func() bool { return equalSets(linked(fleet), chosenEntries(fleet)) })
+}
+
+// TestAskOutlivesTheContact checks that an agent that has given up an unreachable entry still links to it
+// while its ask stands.
+func TestAskOutlivesTheContact(t *testing.T) {
+	is := is.New(t)
+	a := New(Settings{Name: "a", DataCentre: "d"}, Deps{Logs: logs.Discard(), Metrics: metrics.NewRegistry()})
+	e := runs.Entry{Address: "e", Incarnation: 7}
+	a.directory.receiveAsks([]runs.Ask{{Entry: e, Serial: 1, Limit: math.MaxUint64}})
+	for range 2 {
+		asking := a.directory.addAskingEntries()
+		is.Equal(asking, []runs.Entry{e})
+		is.Equal(a.directory.contacts["e"].entry, e)
+		is.True(a.directory.onDemandAddresses(nil, asking)["e"])
+		delete(a.directory.contacts, "e")
+	}
+}
+
 // TestAgentLinksToAllEntriesWhileEndsAreUndelivered checks that the agent works with all entries
 // while it keeps ends that no entry has acknowledged. Any entry may have taken over the job of such
 // an end, and only that one acknowledges it.
--- a/service/runner/link.go
+++ b/service/runner/link.go
@@ -68,7 +68,7 @@
 	a.linkOpened(address, l, first)
 	go a.writeLoop(linkCtx, l, stream)
 	go l.closeWhenSilent(linkCtx)
-	a.readLoop(l, stream)
+	a.readLoop(l, address, stream)
 	a.linkClosed(l, address)
 	return true
 }
@@ -114,7 +114,7 @@
 }
 
 // readLoop passes messages of the entry to the core until the link breaks.
-func (a *Agent) readLoop(l *link, stream runs.AgentStream) {
+func (a *Agent) readLoop(l *link, address string, stream runs.AgentStream) {
 	defer l.stop()
 	for {
 		msg, err := stream.Recv()
@@ -124,6 +124,10 @@
 		l.lastReceived.Store(time.Now().UnixNano())
 		a.traffic.Received()
 		a.directory.learn(msg.Entries)
+		a.directory.receiveAsks(msg.Asks)
+		if msg.Needed {
+			a.directory.setNeeded(address)
+		}
 		a.post(func(c *core.Core, now time.Time) { c.Receive(now, l.id, msg) })
 	}
 }
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -380,6 +380,10 @@
 	// Reserve are new reservations, Released reservations that are no longer needed.
 	Reserve  []Reservation `cbor:"13,keyasint,omitempty"`
 	Released []uint64      `cbor:"14,keyasint,omitempty"`
+	// Asks are what other entries ask of the agent, passed on after each change.
+	Asks []Ask `cbor:"15,keyasint,omitempty"`
+	// Needed is true if the entry needs an agent that has linked to it on demand.
+	Needed bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Member is a record about one entry in the view of the entries' membership.
@@ -389,6 +393,9 @@
 	Serial uint64 `cbor:"2,keyasint"`
 	// Gone is true if an entry that had a gossip stream with this entry has lost it.
 	Gone bool `cbor:"3,keyasint,omitempty"`
+	// Lacks are what the entry's tasks require and no worker of its linked agents has; at most
+	// MaxLacks.
+	Lacks []Lack `cbor:"4,keyasint,omitempty"`
 }
 
 // Gossip is a message between two entries.
