core/runner: the worker's clock is read from its own answers only

One announcement by another program set the deadlines of all later start orders and the fencing token: a deadline in the past (nothing starts), one that never comes, or a token that no later process outranks.

Cause: readClock kept the highest reading, also of announcements; the sum of 2^63-1 and a lease overflows.

Change: only answers are read. The first poll of an incarnation has no token, as after a restart of the agent, and its answer gives clock and token. Before a run starts at a worker that has not answered for 3 s it is polled. Clocks above 2^53 are ignored.

The harness and two tests answer one poll more, as the token is no longer announced; what they assert is unchanged.

--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -394,7 +394,13 @@
 	if !w.known || !w.leavingSince.IsZero() {
 		return false
 	}
-	return !w.synced || c.awaitsLeaseExpiry() || w.candidate.ID != "" || w.restartSuspected || c.runsAtWorker() > 0 || w.acknowledged < c.ackUpTo()
+	return !w.synced || c.awaitsClock() || c.awaitsLeaseExpiry() || w.candidate.ID != "" || w.restartSuspected || c.runsAtWorker() > 0 || w.acknowledged < c.ackUpTo()
+}
+
+// awaitsClock reports whether runs wait until the worker has told its clock again, which it has not
+// while it had nothing to do.
+func (c *Core) awaitsClock() bool {
+	return len(c.queue) > 0 && !c.worker.hasFreshClock(c.now)
 }
 
 // runsAtWorker returns the number of runs that may be at the worker.
--- a/core/runner/core_test.go
+++ b/core/runner/core_test.go
@@ -35,15 +35,24 @@
 	})
 	h := &harness{c, is.New(t)}
 	h.WorkerAnnounced(start, worker("w1"), 5000)
-	poll, ok := h.NextPoll(start)
-	h.is.True(ok)
-	h.is.Equal(poll.Deadline, int64(0)) // no lease may be renewed before the runs are known
-	h.PollAnswered(start, poll, Answer{Status: Accepted, Clock: 5000}, Listing{})
+	h.syncWorker(start, 0, 5000)
 	h.LinkUp(start, 1, entry)
 	h.Flush(start)
 	return h
 }
 
+// syncWorker has a new incarnation of the worker answer the two polls after which its runs are known.
+// clock is its clock in ms.
+func (h *harness) syncWorker(now time.Time, born, clock int64) {
+	for _, token := range []int64{0, clock} {
+		poll, ok := h.NextPoll(now)
+		h.is.True(ok)
+		h.is.Equal(poll.Token, token)
+		h.is.Equal(poll.Deadline, int64(0)) // no lease may be renewed before the runs are known
+		h.PollAnswered(now, poll, Answer{Status: Accepted, Clock: clock, Born: born}, Listing{})
+	}
+}
+
 // worker is the incarnation id of a worker with two cores.
 func worker(id string) runs.Worker {
 	return runs.Worker{ID: id, Agent: "a", Service: "s", Capacity: room.Resources{CPU: 2000, Memory: 100}}
@@ -191,6 +200,8 @@
 	c.LinkUp(start, 1, entry)
 	c.Receive(start, 1, &runs.ToAgent{Clock: start.UnixNano(), Owned: []runs.OwnedRun{{Key: key("mine"), Need: small}}})
 	poll, _ := c.NextPoll(start)
+	c.PollAnswered(start, poll, Answer{Status: Accepted, Clock: 9000}, Listing{})
+	poll, _ = c.NextPoll(start)
 	h.is.Equal(poll.Token, int64(9000)) // fences off orders of the previous process
 	c.PollAnswered(start, poll, Answer{Status: Accepted, Clock: 9000}, Listing{Running: []Running{{Key: key("mine")}, {Key: key("other")}}})
 	h.is.Equal(c.freeCapacity(), room.Resources{}) // what other needs is not known
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -210,7 +210,7 @@
 		poll.Deadline = c.worker.deadline(now, lease)
 		c.worker.recordDeadline(poll.Deadline)
 	}
-	if c.worker.synced && !c.awaitsListing() {
+	if c.worker.synced && !c.awaitsListing() && !c.awaitsClock() {
 		poll.Wait = c.settings.PollWait
 	}
 	return poll, true
--- a/core/runner/restart_test.go
+++ b/core/runner/restart_test.go
@@ -25,8 +25,8 @@
 func newRestartHarness(t *testing.T) *harness {
 	h := newHarness(t)
 	h.retired = retiredIncarnations{}
-	h.startIncarnation(workerStartedAt(firstStart), 500_000)
-	h.pollAt(start, Listing{})
+	h.startIncarnation(workerStartedAt(firstStart))
+	h.syncWorker(start, firstStart, 500_000)
 	h.Flush(start)
 	return h
 }
@@ -155,6 +155,7 @@
 	h.is.Equal(got[0].Outcome, runs.OutcomeRefused)
 	h.OrderAnswered(after(2), out.Orders[1], Answer{Status: Accepted, Clock: 7000})
 	h.WorkerAnnounced(after(3), workerStartedAt(secondStart), 7001)
+	h.pollAnsweredBy(after(3), secondStart, 7001, Listing{Running: []Running{{Key: key("t2")}}}) // tells the clock
 	h.pollAnsweredBy(after(4), secondStart, 7002, Listing{Running: []Running{{Key: key("t2")}}})
 	h.is.Equal(h.runs.Get(key("t2")).phase, phaseRunning)
 	h.pollAnsweredBy(after(5), secondStart, 7003, Listing{Ended: []Ended{{Number: 1, Key: key("t2"), Outcome: runs.OutcomeDone}}})
@@ -198,7 +199,7 @@
 func TestRetiredIncarnationsAreBounded(t *testing.T) {
 	h := newRestartHarness(t)
 	for born := int64(firstStart + 1); born < firstStart+1000; born++ {
-		h.startIncarnation(workerStartedAt(born), 1)
+		h.startIncarnation(workerStartedAt(born))
 	}
 	h.is.Equal(len(h.retired.members), maxRetired)
 	h.is.Equal(len(h.retired.order), maxRetired)
--- a/core/runner/run.go
+++ b/core/runner/run.go
@@ -151,7 +151,7 @@
 // may be gone, or its caller may have turned to another entry while the link was broken: the run
 // would be wasted, or run beside the same task of the other entry.
 func (c *Core) startWaiting() {
-	if len(c.queue) == 0 && len(c.reservations.Waiting()) == 0 || !c.worker.synced || c.isUnavailable() || c.isDrained() || c.mayHaveRestarted() {
+	if len(c.queue) == 0 && len(c.reservations.Waiting()) == 0 || !c.worker.synced || c.isUnavailable() || c.isDrained() || c.mayHaveRestarted() || c.awaitsClock() {
 		return
 	}
 	lease := c.leaseToRequest()
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -24,7 +24,8 @@
 	// acknowledged is the highest number of an end whose acknowledgement the worker has
 	// confirmed.
 	acknowledged int64
-	// clock is the highest reading of the worker's clock in ms, received at clockReadAt.
+	// clock is the highest reading of the worker's clock in ms, received at clockReadAt. Readings are
+	// taken from the worker's own answers only: other software can send announcements.
 	clock       int64
 	clockReadAt time.Time
 	// latestDeadline is the latest deadline that the worker may have received, on its clock in
@@ -34,9 +35,8 @@
 	// previous agent process may reach.
 	previousLease int64
 	// candidate is another incarnation that was announced. The announcement may be an old one
-	// that was delayed, so the worker is polled to find out. candidateClock is its clock in ms.
-	candidate      runs.Worker
-	candidateClock int64
+	// that was delayed, so the worker is polled to find out.
+	candidate runs.Worker
 	// leavingSince is when the worker announced that the incarnation ends; its runs may need a
 	// moment to end.
 	leavingSince time.Time
@@ -58,9 +58,18 @@
 // maxClockDrift is the greatest fraction by which a worker's clock may run slower than real time.
 const maxClockDrift = 0.02
 
-// readClock takes a reading of the worker's clock in ms. Older readings are ignored.
+const (
+	// maxClock is the highest reading of a worker's clock, in ms, that is taken. Sums with leases stay
+	// exact below it, also in JSON.
+	maxClock = 1 << 53
+	// maxClockAge is the age of the newest reading from which the worker is polled before a run starts.
+	// Its clock may be ahead of the lowest value possible by maxClockDrift of that age.
+	maxClockAge = 3 * time.Second
+)
+
+// readClock takes a reading of the worker's clock in ms from an answer. Older readings are ignored.
 func (w *workerState) readClock(now time.Time, clock int64) {
-	if clock <= w.clock {
+	if clock <= 0 || clock < w.clock || clock > maxClock {
 		return
 	}
 	if w.clock == 0 {
@@ -70,6 +79,12 @@
 	w.clockReadAt = now
 }
 
+// hasFreshClock reports whether deadlines for the worker can be computed from the newest reading of its
+// clock.
+func (w *workerState) hasFreshClock(now time.Time) bool {
+	return w.clock > 0 && now.Sub(w.clockReadAt) <= maxClockAge
+}
+
 // clockLowerBound returns the lowest value that the worker's clock may show now, in ms.
 func (w *workerState) clockLowerBound(now time.Time) int64 {
 	since := float64(now.Sub(w.clockReadAt).Milliseconds()) * (1 - maxClockDrift)
@@ -84,23 +99,21 @@
 // recordDeadline records a deadline that the worker may have received.
 func (w *workerState) recordDeadline(ms int64) { w.latestDeadline = max(w.latestDeadline, ms) }
 
-// WorkerAnnounced handles an announcement of the worker with a reading of its clock in ms. It
-// returns false if the announced incarnation is retired.
-func (c *Core) WorkerAnnounced(now time.Time, info runs.Worker, clock int64) bool {
+// WorkerAnnounced handles an announcement of the worker. It returns false if the announced incarnation
+// is retired.
+func (c *Core) WorkerAnnounced(now time.Time, info runs.Worker, _ int64) bool {
 	c.now = now
 	if c.retired.has(info.Incarnation()) {
 		return false
 	}
 	if !c.worker.known {
-		c.startIncarnation(info, clock)
+		c.startIncarnation(info)
 		return true
 	}
 	if c.worker.info.Incarnation() != info.Incarnation() {
 		c.worker.candidate = info
-		c.worker.candidateClock = clock
 		return true
 	}
-	c.worker.readClock(now, clock)
 	changed := info.Draining != c.worker.info.Draining || info.Capacity != c.worker.info.Capacity || c.worker.unannounced
 	c.worker.unannounced = false
 	c.worker.info = info
@@ -114,24 +127,23 @@
 }
 
 // WorkerLoaded handles what the registry has of the worker, as announced to a previous process of
-// this agent. The first poll has no token; its answer contains the worker's clock or tells that
-// the incarnation is over.
+// this agent. The first poll shows whether that incarnation still exists.
 func (c *Core) WorkerLoaded(now time.Time, info runs.Worker) {
 	c.now = now
 	if !c.worker.known && !c.retired.has(info.Incarnation()) {
-		c.startIncarnation(info, 0)
+		c.startIncarnation(info)
 	}
 }
 
 // startIncarnation replaces the worker's incarnation by a new one. All runs of the previous one
-// are over.
-func (c *Core) startIncarnation(info runs.Worker, clock int64) {
+// are over. The first poll has no token; its answer contains the worker's clock, which becomes the
+// token, or tells that the incarnation is over.
+func (c *Core) startIncarnation(info runs.Worker) {
 	c.loseWorker()
 	c.worker = workerState{
-		info: info, known: true, idReused: c.retired.hasID(info.ID), token: clock,
+		info: info, known: true, idReused: c.retired.hasID(info.ID),
 		previousLease: previousLeaseFactor * c.settings.WorkerLease.Milliseconds(),
 	}
-	c.worker.readClock(c.now, clock)
 	c.speed = speedStats{}
 }
 
@@ -141,10 +153,10 @@
 
 // handleIncarnationOver handles that the present incarnation is over.
 func (c *Core) handleIncarnationOver() {
-	next, clock := c.worker.candidate, c.worker.candidateClock
+	next := c.worker.candidate
 	c.loseWorker()
 	if next.ID != "" {
-		c.startIncarnation(next, clock)
+		c.startIncarnation(next)
 	}
 }
 
