core/runner: announcements are ordered by the worker's own clock

One announcement by another program with a sequence number that the worker never reaches made the agent drop all true ones for the rest of its life.

Cause: the order was that of sequence numbers, which nothing that the worker answers can be held against. Evidence: TestOddSequenceNumberHidesNoAnnouncement failed on the code before (one of nine delivered).

Change: announcements are ordered by the clock that they tell, which the worker's answers tell too. One with a clock ahead of the worker's is not followed, after a poll where that is in doubt; one behind the newest followed is late. A drain takes effect at once. An announcement that says nothing new is not judged, so that an idle worker is not polled.

Tests: also TestTrueAnnouncementIsFollowedAfterAnOddOne, TestDescriptionOfAnotherProgramIsNotUsed, TestAnnouncementThatSaysNothingNewCausesNoPoll and the property test TestOddAnnouncements: after any odd ones a true one is followed within a poll, no deadline lies in the past or beyond the lease, no token is above the worker's clock.

--- a/core/runner/announcement_test.go
+++ b/core/runner/announcement_test.go
@@ -4,6 +4,11 @@
 	"math"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"peridotpick.example/common/room"
+	"peridotpick.example/wire/runs"
 )
 
 // oddClocks are readings that another program may announce as those of the worker.
@@ -32,6 +37,7 @@
 		h.Core = New(h.settings)
 		h.WorkerAnnounced(start, worker("w1"), clock)
 		h.syncWorker(start, 0, 5000)
+		h.WorkerAnnounced(start, worker("w1"), 5000)
 		h.LinkUp(start, 1, entry)
 		out := h.send(start, "t1")
 		h.is.Equal(len(out.Orders), 1)
@@ -64,3 +70,145 @@
 	h.PollAnswered(after(1), poll, Answer{Status: Accepted, Clock: math.MaxInt64}, Listing{})
 	h.is.Equal(h.send(after(2), "t1").Orders[0].Deadline, int64(5801))
 }
+
+// trueWorker plays a worker whose clock shows 5000 at the start of a test.
+type trueWorker struct {
+	*harness
+	now time.Time
+}
+
+func (w *trueWorker) clock() int64 { return 5000 + w.now.Sub(start).Milliseconds() }
+
+// answerPoll has the worker answer a poll if one is due.
+func (w *trueWorker) answerPoll() {
+	if poll, ok := w.NextPoll(w.now); ok {
+		w.PollAnswered(w.now, poll, Answer{Status: Accepted, Clock: w.clock()}, Listing{})
+	}
+	w.Flush(w.now)
+}
+
+// TestTrueAnnouncementIsFollowedAfterAnOddOne guards against an agent that no longer follows its worker:
+// another program has announced the same worker with a clock, a capacity or a state that is not its own.
+func TestTrueAnnouncementIsFollowedAfterAnOddOne(t *testing.T) {
+	odd := worker("w1")
+	odd.Service, odd.Labels, odd.Capacity = "other", []string{"x"}, room.Resources{CPU: 1, Memory: 1}
+	draining := odd
+	draining.Draining = true
+	for _, clock := range append(oddClocks, 0, 1) {
+		for _, info := range []runs.Worker{odd, draining} {
+			h := newHarness(t)
+			w := &trueWorker{h, after(2000)}
+			h.WorkerAnnounced(w.now, info, clock)
+			w.answerPoll()
+			w.now = after(3500)
+			want := worker("w1")
+			want.Capacity.CPU = 3000
+			h.is.True(h.WorkerAnnounced(w.now, want, w.clock()))
+			w.answerPoll()
+			h.is.Equal(h.worker.info, want)
+			h.is.Equal(h.worker.unannounced, false)
+			h.is.Equal(h.worker.pending, nil)
+		}
+	}
+}
+
+// TestDescriptionOfAnotherProgramIsNotUsed verifies that an announcement whose clock is ahead of the
+// worker's changes nothing but the state, which the next true one corrects.
+func TestDescriptionOfAnotherProgramIsNotUsed(t *testing.T) {
+	h := newHarness(t)
+	w := &trueWorker{h, after(1000)}
+	odd := worker("w1")
+	odd.Capacity.CPU = 1 << 20
+	h.WorkerAnnounced(w.now, odd, 1<<50)
+	h.is.Equal(h.worker.info, worker("w1"))
+	w.answerPoll()
+	h.is.Equal(h.worker.info, worker("w1"))
+}
+
+// TestLateAnnouncementChangesNothing guards against a start at a worker that drains: an announcement from
+// before arrives after the one that says so.
+func TestLateAnnouncementChangesNothing(t *testing.T) {
+	h := newHarness(t)
+	w := &trueWorker{h, after(1000)}
+	draining := worker("w1")
+	draining.Draining = true
+	h.WorkerAnnounced(w.now, draining, w.clock())
+	w.answerPoll()
+	w.now = after(1400)
+	for _, clock := range []int64{5999, 6000} {
+		h.WorkerAnnounced(w.now, worker("w1"), clock)
+		w.answerPoll()
+		h.is.True(h.worker.info.Draining)
+	}
+	w.now = after(1500)
+	h.WorkerAnnounced(w.now, worker("w1"), w.clock())
+	w.answerPoll()
+	h.is.True(!h.worker.info.Draining)
+}
+
+// TestAnnouncementThatSaysNothingNewCausesNoPoll verifies that the regular announcements of an idle worker
+// cost no polls.
+func TestAnnouncementThatSaysNothingNewCausesNoPoll(t *testing.T) {
+	h := newHarness(t)
+	w := &trueWorker{h, start}
+	w.WorkerAnnounced(w.now, worker("w1"), w.clock())
+	w.answerPoll()
+	for ms := 1500; ms < 600_000; ms += 1500 {
+		w.now = after(ms)
+		h.Tick(w.now)
+		h.WorkerAnnounced(w.now, worker("w1"), w.clock())
+		h.unannouncedAfterSuspension(t)
+	}
+}
+
+// unannouncedAfterSuspension fails the test if the worker is to be polled although it is announced.
+func (h *harness) unannouncedAfterSuspension(t *testing.T) {
+	t.Helper()
+	if !h.worker.unannounced && h.NeedsPoll() {
+		t.Fatal("an idle worker is polled")
+	}
+}
+
+// TestOddAnnouncements feeds random announcements of another program, and verifies after each true one
+// that it is followed within one poll, that deadlines and tokens are the worker's, and that sums do not
+// overflow.
+func TestOddAnnouncements(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHarness(t)
+		w := &trueWorker{h, start}
+		number := rapid.OneOf(rapid.Int64(), rapid.SampledFrom(oddClocks), rapid.Int64Range(4000, 70_000))
+		for n := range rapid.IntRange(1, 6).Draw(rt, "rounds") {
+			for range rapid.IntRange(1, 4).Draw(rt, "odd") {
+				odd := worker(rapid.SampledFrom([]string{"w1", "w1", "w2", ""}).Draw(rt, "id"))
+				odd.Born = rapid.SampledFrom([]int64{0, 0, 1, math.MaxInt64}).Draw(rt, "born")
+				odd.Service = rapid.SampledFrom([]string{"s", "other"}).Draw(rt, "service")
+				odd.Capacity.CPU = int(number.Draw(rt, "cpu"))
+				odd.Draining = rapid.Bool().Draw(rt, "draining")
+				h.WorkerAnnounced(w.now, odd, number.Draw(rt, "clock"))
+				if rapid.Bool().Draw(rt, "answered") {
+					w.answerPoll()
+				}
+			}
+			w.now = w.now.Add(time.Duration(rapid.IntRange(200, 9000).Draw(rt, "ms")) * time.Millisecond)
+			h.Tick(w.now)
+			want := worker("w1")
+			want.Capacity.CPU = 2000 + n
+			h.WorkerAnnounced(w.now, want, w.clock())
+			for range 3 { // of a new incarnation the clock, the runs and the announcement
+				w.answerPoll()
+			}
+			if h.worker.info.Capacity != want.Capacity || h.worker.info.Service != "s" || h.worker.info.Draining || h.worker.unannounced {
+				rt.Fatalf("not followed: %+v", h.worker)
+			}
+			if h.worker.token > w.clock() {
+				rt.Fatalf("token %d at clock %d", h.worker.token, w.clock())
+			}
+			for _, o := range h.send(w.now, "t").Orders {
+				if o.Deadline < w.clock() || o.Deadline > w.clock()+800 {
+					rt.Fatalf("deadline %d at clock %d", o.Deadline, w.clock())
+				}
+			}
+			h.runs.Delete(key("t"))
+		}
+	})
+}
--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -85,6 +85,8 @@
 	CloseLinks []LinkID
 	// Decisions are the decisions for the log.
 	Decisions []Decision
+	// Announced is a description of the worker that has come into use; nil if there is none.
+	Announced *runs.Worker
 }
 
 // Decision is one decision, to be logged and counted.
@@ -101,6 +103,9 @@
 	// Worker and Previous are the worker's present and its previous incarnation, in decisions about
 	// the worker.
 	Worker, Previous runs.Incarnation
+	// Clock is the worker's clock in ms as announced, WorkerClock the newest reading from its answers, in
+	// decisions about announcements.
+	Clock, WorkerClock int64
 }
 
 // link is a connection to one entry.
@@ -394,7 +399,7 @@
 	if !w.known || !w.leavingSince.IsZero() {
 		return false
 	}
-	return !w.synced || c.awaitsClock() || c.awaitsLeaseExpiry() || w.candidate.ID != "" || w.restartSuspected || c.runsAtWorker() > 0 || w.acknowledged < c.ackUpTo()
+	return !w.synced || c.awaitsClock() || c.awaitsLeaseExpiry() || w.candidate != nil || w.pending != nil || w.restartSuspected || c.runsAtWorker() > 0 || w.acknowledged < c.ackUpTo()
 }
 
 // awaitsClock reports whether runs wait until the worker has told its clock again, which it has not
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -210,7 +210,7 @@
 		poll.Deadline = c.worker.deadline(now, lease)
 		c.worker.recordDeadline(poll.Deadline)
 	}
-	if c.worker.synced && !c.awaitsListing() && !c.awaitsClock() {
+	if c.worker.synced && !c.awaitsListing() && !c.awaitsClock() && c.worker.pending == nil {
 		poll.Wait = c.settings.PollWait
 	}
 	return poll, true
@@ -267,12 +267,14 @@
 	c.worker.readClock(now, a.Clock)
 	switch a.Status {
 	case Accepted:
+		c.worker.polledClock = c.worker.clock
 		c.worker.restartSuspected = false
 		c.resolveExpiredEnds(false)
 		c.worker.acknowledged = max(c.worker.acknowledged, poll.AckUpTo)
 		c.worker.answeredPollAt = poll.SentAt
 		c.retireCandidate()
 		c.resetUnanswered()
+		c.judgeAnnouncement()
 	case WrongIncarnation, NotListening:
 		c.handleIncarnationOver()
 		return
--- a/core/runner/restart.go
+++ b/core/runner/restart.go
@@ -55,7 +55,7 @@
 // confirmed its incarnation.
 func (c *Core) mayHaveRestarted() bool {
 	w := &c.worker
-	return w.info.Born != 0 && (w.restartSuspected || w.unansweredPolls > 0 || w.candidate.ID == w.info.ID)
+	return w.info.Born != 0 && (w.restartSuspected || w.unansweredPolls > 0 || w.candidate != nil && w.candidate.info.ID == w.info.ID)
 }
 
 // maxClockJump is the greatest step of the worker's clock, in ms, that a delayed answer can
@@ -80,9 +80,11 @@
 	previous := c.worker
 	next := previous.info
 	next.Born = a.Born
-	announced := previous.candidate.ID != "" && previous.candidate.Incarnation() == next.Incarnation()
+	announced := previous.candidate != nil && previous.candidate.info.Incarnation() == next.Incarnation()
+	var pending *announcement
 	if announced {
-		next = previous.candidate
+		pending = previous.candidate
+		next = pending.info
 	}
 	c.retire(previous.info.Incarnation())
 	c.markSuspect()
@@ -91,7 +93,7 @@
 	c.refuseWaiting(runs.ReasonNoWorker)
 	c.held = ordered.Map[int64, *heldEnd]{} // the list of the previous incarnation is gone with it
 	c.worker = workerState{
-		info: next, known: true, idReused: true, unannounced: !announced, epoch: previous.epoch + 1, token: max(a.Clock, previous.token+1),
+		info: next, known: true, idReused: true, unannounced: !announced, pending: pending, unjudged: announced, epoch: previous.epoch + 1, token: max(a.Clock, previous.token+1),
 		previousLease: previousLeaseFactor * c.settings.WorkerLease.Milliseconds(),
 	}
 	c.worker.readClock(c.now, a.Clock)
--- a/core/runner/restart_test.go
+++ b/core/runner/restart_test.go
@@ -25,7 +25,7 @@
 func newRestartHarness(t *testing.T) *harness {
 	h := newHarness(t)
 	h.retired = retiredIncarnations{}
-	h.startIncarnation(workerStartedAt(firstStart))
+	h.startIncarnation(workerStartedAt(firstStart), nil)
 	h.syncWorker(start, firstStart, 500_000)
 	h.Flush(start)
 	return h
@@ -199,7 +199,7 @@
 func TestRetiredIncarnationsAreBounded(t *testing.T) {
 	h := newRestartHarness(t)
 	for born := int64(firstStart + 1); born < firstStart+1000; born++ {
-		h.startIncarnation(workerStartedAt(born))
+		h.startIncarnation(workerStartedAt(born), nil)
 	}
 	h.is.Equal(len(h.retired.members), maxRetired)
 	h.is.Equal(len(h.retired.order), maxRetired)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -36,7 +36,15 @@
 	previousLease int64
 	// candidate is another incarnation that was announced. The announcement may be an old one
 	// that was delayed, so the worker is polled to find out.
-	candidate runs.Worker
+	candidate *announcement
+	// pending is an announcement of the present incarnation that waits for the answer to a poll.
+	// unjudged is set while info is from an announcement that nothing was held against. announcedClock
+	// is the clock in ms of the newest announcement that was followed.
+	pending        *announcement
+	unjudged       bool
+	announcedClock int64
+	// polledClock is the worker's clock in ms from the newest answer to a poll; 0 before the first.
+	polledClock int64
 	// leavingSince is when the worker announced that the incarnation ends; its runs may need a
 	// moment to end.
 	leavingSince time.Time
@@ -99,49 +107,23 @@
 // recordDeadline records a deadline that the worker may have received.
 func (w *workerState) recordDeadline(ms int64) { w.latestDeadline = max(w.latestDeadline, ms) }
 
-// WorkerAnnounced handles an announcement of the worker. It returns false if the announced incarnation
-// is retired.
-func (c *Core) WorkerAnnounced(now time.Time, info runs.Worker, _ int64) bool {
-	c.now = now
-	if c.retired.has(info.Incarnation()) {
-		return false
-	}
-	if !c.worker.known {
-		c.startIncarnation(info)
-		return true
-	}
-	if c.worker.info.Incarnation() != info.Incarnation() {
-		c.worker.candidate = info
-		return true
-	}
-	changed := info.Draining != c.worker.info.Draining || info.Capacity != c.worker.info.Capacity || c.worker.unannounced
-	c.worker.unannounced = false
-	c.worker.info = info
-	if changed {
-		if info.Draining {
-			c.refuseWaiting(runs.ReasonDraining)
-		}
-		c.refuseUnfitting()
-	}
-	return true
-}
-
 // WorkerLoaded handles what the registry has of the worker, as announced to a previous process of
 // this agent. The first poll shows whether that incarnation still exists.
 func (c *Core) WorkerLoaded(now time.Time, info runs.Worker) {
 	c.now = now
 	if !c.worker.known && !c.retired.has(info.Incarnation()) {
-		c.startIncarnation(info)
+		c.startIncarnation(info, nil)
 	}
 }
 
 // startIncarnation replaces the worker's incarnation by a new one. All runs of the previous one
 // are over. The first poll has no token; its answer contains the worker's clock, which becomes the
-// token, or tells that the incarnation is over.
-func (c *Core) startIncarnation(info runs.Worker) {
+// token, or tells that the incarnation is over. a is the announcement that the description is from; nil
+// if it was not announced to this process.
+func (c *Core) startIncarnation(info runs.Worker, a *announcement) {
 	c.loseWorker()
 	c.worker = workerState{
-		info: info, known: true, idReused: c.retired.hasID(info.ID),
+		info: info, known: true, idReused: c.retired.hasID(info.ID), pending: a, unjudged: a != nil,
 		previousLease: previousLeaseFactor * c.settings.WorkerLease.Milliseconds(),
 	}
 	c.speed = speedStats{}
@@ -155,19 +137,19 @@
 func (c *Core) handleIncarnationOver() {
 	next := c.worker.candidate
 	c.loseWorker()
-	if next.ID != "" {
-		c.startIncarnation(next)
+	if next != nil {
+		c.startIncarnation(next.info, next)
 	}
 }
 
 // retireCandidate handles an answer of the present incarnation, which proves that the candidate
 // is over.
 func (c *Core) retireCandidate() {
-	if c.worker.candidate.ID == "" {
+	if c.worker.candidate == nil {
 		return
 	}
-	c.retire(c.worker.candidate.Incarnation())
-	c.worker.candidate = runs.Worker{}
+	c.retire(c.worker.candidate.info.Incarnation())
+	c.worker.candidate = nil
 }
 
 // retire records that an incarnation is over, so that its delayed announcements are rejected.
--- a/service/runner/agent.go
+++ b/service/runner/agent.go
@@ -104,8 +104,7 @@
 	stopOrders  chan core.Order
 	pollDue     chan struct{}
 	links       map[core.LinkID]*link
-	// savedWorker is the announcement that was last sent to the registry. Only the goroutine
-	// that calls WorkerAnnounced uses it.
+	// savedWorker is the description that was last sent to the registry. Only the event loop uses it.
 	savedWorker  runs.Worker
 	directory    *directory
 	sharedDrains sharedDrains
@@ -164,8 +163,7 @@
 	}
 }
 
-// WorkerAnnounced handles an announcement of the worker. clock is the worker's clock in ms. Calls
-// must not overlap.
+// WorkerAnnounced handles an announcement of the worker. clock is the worker's clock in ms.
 func (a *Agent) WorkerAnnounced(info runs.Worker, clock int64) {
 	if info.DataCentre == "" {
 		info.DataCentre = a.settings.DataCentre // the worker is in the same data centre as its agent
@@ -175,10 +173,9 @@
 			a.log.Warn().Str("worker", info.ID).Int64("born", info.Born).Msg("agent: announcement of an incarnation that is over")
 		}
 	})
-	a.saveWorker(info)
 }
 
-// saveWorker stores a changed announcement in the registry, so that the next process of this agent
+// saveWorker stores a changed description of the worker in the registry, so that the next process of this agent
 // need not wait for an announcement.
 func (a *Agent) saveWorker(info runs.Worker) {
 	if info.Incarnation() == a.savedWorker.Incarnation() && info.Draining == a.savedWorker.Draining && info.Capacity == a.savedWorker.Capacity {
@@ -292,6 +289,9 @@
 			l.stop()
 		}
 	}
+	if out.Announced != nil {
+		a.saveWorker(*out.Announced)
+	}
 	for i := range out.Decisions {
 		a.logDecision(&out.Decisions[i])
 	}
@@ -327,6 +327,9 @@
 	if decision.Reason != runs.ReasonNone {
 		line.Stringer("reason", decision.Reason)
 	}
+	if decision.Clock != 0 {
+		line.Int64("clock", decision.Clock).Int64("worker_clock", decision.WorkerClock)
+	}
 	if decision.Age != 0 {
 		line.Dur("age", decision.Age)
 	}
