core/runner: an announced start time hides no worker

A start time announced by another program made an agent drop all true announcements, where the worker reports no start time: as another incarnation that is over if it came first, with 400 at any time.

Cause: the agent believed the announced start time as long as the worker answered under its ID; the receiver remembered that one had been announced.

Change: an accepted poll without a start time ends an incarnation with one, like a restart. The receiver remembers nothing; what it rejected with 400 before, an announcement without the start time that the worker reports, is now retired by the answer to one poll (TestAnnouncementWithoutStartTimeChangesNothing), so that it is followed as little as before.

--- a/core/runner/announcement_test.go
+++ b/core/runner/announcement_test.go
@@ -212,3 +212,39 @@
 		}
 	})
 }
+
+// TestStartTimeOfAnotherProgramHidesNoWorker guards against an agent that no longer follows its worker:
+// another program has announced it with a start time, which the worker does not report.
+func TestStartTimeOfAnotherProgramHidesNoWorker(t *testing.T) {
+	h := newHarness(t)
+	h.Core = New(h.settings)
+	w := &trueWorker{h, after(1000)}
+	odd := worker("w1")
+	odd.Born = 77
+	h.WorkerAnnounced(w.now, odd, w.clock())
+	for range 2 {
+		w.answerPoll()
+	}
+	w.now = after(1500)
+	h.is.True(h.WorkerAnnounced(w.now, worker("w1"), w.clock()))
+	for range 3 {
+		w.answerPoll()
+	}
+	h.is.Equal(h.worker.info, worker("w1"))
+	h.is.True(h.WorkerAnnounced(w.now, worker("w1"), w.clock()))
+}
+
+// TestAnnouncementWithoutStartTimeChangesNothing verifies that an announcement without the start time that
+// the worker reports in its answers ends no run and is not followed.
+func TestAnnouncementWithoutStartTimeChangesNothing(t *testing.T) {
+	h := newRestartHarness(t)
+	h.retired = retiredIncarnations{}
+	out := h.send(start, "t1")
+	h.OrderAnswered(after(1), out.Orders[0], Answer{Status: Accepted, Clock: 500_001})
+	h.is.True(h.WorkerAnnounced(after(2), worker("w1"), 500_002))
+	h.pollAnsweredBy(after(3), firstStart, 500_003, Listing{Running: []Running{{Key: key("t1")}}})
+	h.is.Equal(h.worker.info.Born, int64(firstStart))
+	h.is.Equal(len(ends(h.Flush(after(3)))), 0)
+	h.is.Equal(h.WorkerAnnounced(after(4), worker("w1"), 500_004), false)
+	h.is.Equal(startsOf(h.send(after(5), "t2")), []runs.Key{key("t2")})
+}
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -260,7 +260,10 @@
 	if poll.isStale(now, c.worker.epoch) || poll.SentAt.Before(c.worker.answeredPollAt) {
 		return
 	}
-	if a.Born != 0 && a.Born != c.worker.info.Born {
+	// A listing tells the start time if the server reports one. Without it, another program has announced
+	// one.
+	isListing := a.Status == Accepted && a.Clock > 0
+	if a.Born != c.worker.info.Born && (a.Born != 0 || isListing) {
 		c.handleRestart(a)
 		return
 	}
