core/ledger: rows that no owner can run are errors

One odd row among those of the durable jobs ended each entry that took the job over, again after each restart: "index out of range [7] with length 1".

Cause: a row that could be decoded was trusted; the core indexes steps by their numbers, and loops over a number of unreachable workers.

--- a/core/batch/crash.go
+++ b/core/batch/crash.go
@@ -203,10 +203,13 @@
 	return true
 }
 
+// maxRestoredRuns bounds the runs that are restored; more than a few are not stored by an owner.
+const maxRestoredRuns = 1000
+
 // restoreUnreachableRuns restores the given number of runs of a previous owner whose workers became
 // unreachable. The run numbers are not known but are lower than those of later runs.
 func (t *task) restoreUnreachableRuns(now time.Time, count int) {
-	for n := range count {
+	for n := range min(count, maxRestoredRuns) {
 		if t.unreachableRuns == nil {
 			t.unreachableRuns = make(map[uint32]time.Time)
 		}
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -434,7 +434,7 @@
 	is := is.New(t)
 	row := &Row{
 		Queue: "q", Owner: self, Epoch: 3, State: batch.JobRunning, Writer: 1, Write: 9, Spec: "x",
-		Steps:    []batch.Step{{Count: 2, Estimate: time.Second, After: []int{0}, Requires: "a"}},
+		Steps:    []batch.Step{{Count: 1}, {Count: 2, Estimate: time.Second, After: []int{0}, Requires: "a"}},
 		Progress: []batch.TaskProgress{{Index: 1, Done: true, Run: 4}},
 	}
 	raw, err := row.Encode()
@@ -443,12 +443,3 @@
 	is.NoErr(err)
 	is.Equal(back, row)
 }
-
-func FuzzDecode(f *testing.F) {
-	raw, err := (&Row{Queue: "q", Owner: self}).Encode()
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.Add(raw)
-	f.Fuzz(func(_ *testing.T, raw []byte) { _, _ = Decode(raw) })
-}
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -99,10 +99,35 @@
 	return raw, eris.Wrap(err, "encode row of durable job")
 }
 
-// Decode decodes a stored row.
+// Decode decodes a stored row. Rows of other writers that no owner could run are errors.
 func Decode(raw []byte) (*Row, error) {
 	r := new(Row)
-	return r, eris.Wrap(cbor.Unmarshal(raw, r), "decode row of durable job")
+	if err := cbor.Unmarshal(raw, r); err != nil {
+		return nil, eris.Wrap(err, "decode row of durable job")
+	}
+	if err := r.check(); err != nil {
+		return nil, eris.Wrap(err, "row of durable job")
+	}
+	return r, nil
+}
+
+// check returns an error that names the field and the limit if no entry has written the row.
+func (r *Row) check() error {
+	if r.State > batch.JobCancelled {
+		return eris.Errorf("state: %d, at most %d", r.State, batch.JobCancelled)
+	}
+	if r.Epoch > batch.MaxEpoch || r.StartedEpoch > r.Epoch {
+		return eris.Errorf("epoch: %d, started %d, at most %d and in this order", r.Epoch, r.StartedEpoch, batch.MaxEpoch)
+	}
+	for _, p := range r.Progress {
+		if p.Step < 0 || p.Index < 0 {
+			return eris.Errorf("progress: step %d, task %d, from 0", p.Step, p.Index)
+		}
+	}
+	if r.State.Ended() {
+		return nil // its steps are not stored
+	}
+	return batch.CheckSteps(r.Steps)
 }
 
 // StoredRow is a row together with its key and version in the store.
--- a/core/ledger/row_test.go
+++ b/core/ledger/row_test.go
@@ -10,6 +10,7 @@
 
 	"peridotpick.example/common/room"
 	"peridotpick.example/core/batch"
+	"peridotpick.example/core/catalog"
 	"peridotpick.example/wire/runs"
 )
 
@@ -88,3 +89,88 @@
 	c.SaveRecord(after(1100), batch.Record{Job: "j", Seq: 2, State: batch.JobDone})
 	is.Equal(len(c.Flush().Writes), 1) // later ones are tried
 }
+
+// oddRow returns the row of a job of one task, changed by edit.
+func oddRow(edit func(r *Row)) *Row {
+	r := &Row{Queue: "q", Owner: runs.Entry{Address: "e", Incarnation: 1}, Epoch: 1, Steps: []batch.Step{{Count: 1, Need: room.Resources{CPU: 1}, Estimate: time.Second}}}
+	edit(r)
+	return r
+}
+
+// oddRows are rows that another writer may leave among those of the jobs.
+var oddRows = map[string]*Row{
+	"after a later step": oddRow(func(r *Row) { r.Steps[0].After = []int{7} }),
+	"after itself":       oddRow(func(r *Row) { r.Steps[0].After = []int{0} }),
+	"after step -1":      oddRow(func(r *Row) { r.Steps[0].After = []int{-1} }),
+	"no step":            oddRow(func(r *Row) { r.Steps = nil }),
+	"too many steps":     oddRow(func(r *Row) { r.Steps = make([]batch.Step, 65) }),
+	"too many tasks":     oddRow(func(r *Row) { r.Steps[0].Count = math.MaxInt64 }),
+	"no task":            oddRow(func(r *Row) { r.Steps[0].Count = -1 }),
+	"need":               oddRow(func(r *Row) { r.Steps[0].Need.CPU = math.MaxInt64 }),
+	"negative need":      oddRow(func(r *Row) { r.Steps[0].Need.Memory = -1 }),
+	"estimate":           oddRow(func(r *Row) { r.Steps[0].Estimate = math.MaxInt64 }),
+	"negative estimate":  oddRow(func(r *Row) { r.Steps[0].Estimate = -1 }),
+	"state":              oddRow(func(r *Row) { r.State = 200 }),
+	"epoch":              oddRow(func(r *Row) { r.Epoch = math.MaxUint64 }),
+	"started epoch":      oddRow(func(r *Row) { r.StartedEpoch = math.MaxUint64 }),
+	"progress":           oddRow(func(r *Row) { r.Progress = []batch.TaskProgress{{Step: -1}} }),
+	"progress of a task": oddRow(func(r *Row) { r.Progress = []batch.TaskProgress{{Index: -1}} }),
+}
+
+// runRow has an entry own and run the job of a row.
+func runRow(r *Row) {
+	now := time.Unix(1000, 0)
+	c := batch.New(batch.DefaultSettings())
+	c.ConfirmOwnership(now.Add(time.Hour))
+	c.RunDurable(now, &batch.DurableJob{
+		Job: "0000000000000001", Queue: &catalog.Queue{Name: "q", Service: "s", MaxAttempts: 1, Stretch: 2}, Spec: r.Spec, Steps: r.Steps,
+		Epoch: r.Epoch, StartedEpoch: r.StartedEpoch, Progress: r.Progress,
+	})
+	for range 3 {
+		now = now.Add(100 * time.Millisecond)
+		c.Tick(now)
+		c.Flush(now)
+	}
+}
+
+// TestOddRowOfAJobIsAnError guards against entries that end by themselves, each one that takes the job
+// over: another writer has left a row that no owner can run.
+func TestOddRowOfAJobIsAnError(t *testing.T) {
+	for name, r := range oddRows {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			raw, err := r.Encode()
+			is.NoErr(err)
+			decoded, err := Decode(raw)
+			is.True(err != nil)
+			is.Equal(decoded, nil)
+		})
+	}
+}
+
+// TestRowWithManyUnreachableWorkersIsBounded guards against an entry that runs out of memory over one row.
+func TestRowWithManyUnreachableWorkersIsBounded(t *testing.T) {
+	runRow(oddRow(func(r *Row) { r.Progress = []batch.TaskProgress{{LostWorkers: 1, UnreachableWorkers: math.MaxInt64}} }))
+}
+
+// FuzzDecode verifies that a row which is decoded can be run.
+func FuzzDecode(f *testing.F) {
+	for _, r := range oddRows {
+		raw, err := r.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	raw, err := oddRow(func(*Row) {}).Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte(strings.Repeat("\x81", 100_000))) // nested arrays
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if r, err := Decode(raw); err == nil && !r.State.Ended() {
+			runRow(r)
+		}
+	})
+}
