core/membership: serial numbers have a successor

A record of an entry's address with the serial number 2^64-1 could not be outranked: the entry counted as gone, or as another process, for good.

Cause: updateSelf adds 1, which gives 0. Change: serial numbers are ordered circularly (runs.IsLater), also where asks compare them. Numbers that entries give compare as before.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -156,7 +156,7 @@
 // and differs from it, this entry publishes a newer one.
 func (v *View) applySelfRecord(r runs.Member, ch *Change) {
 	same := r.Entry.Incarnation == v.self.Entry.Incarnation && !r.Gone
-	if r.Serial < v.self.Serial || r.Serial == v.self.Serial && same {
+	if runs.IsLater(v.self.Serial, r.Serial) || r.Serial == v.self.Serial && same {
 		return
 	}
 	ch.Records = append(ch.Records, v.updateSelf(v.self, r.Serial).Records...)
@@ -164,14 +164,13 @@
 
 func (v *View) applyRecord(now time.Time, r runs.Member, ch *Change) {
 	m := v.members.Get(r.Entry.Address)
-	if m == nil {
-		if r.Gone {
-			return // an unknown entry that is gone is of no interest
-		}
+	switch {
+	case m == nil && r.Gone:
+		return // an unknown entry that is gone is of no interest
+	case m == nil:
 		m = &member{record: runs.Member{Entry: runs.Entry{Address: r.Entry.Address}, Gone: true}}
 		v.members.Put(r.Entry.Address, m)
-	}
-	if !outranks(r, m.record) {
+	case !outranks(r, m.record):
 		return
 	}
 	v.replaceRecord(now, m, r, ch)
@@ -180,7 +179,7 @@
 // outranks reports whether record r replaces an older record of the same address.
 func outranks(r, old runs.Member) bool {
 	if r.Serial != old.Serial {
-		return r.Serial > old.Serial
+		return runs.IsLater(r.Serial, old.Serial)
 	}
 	return r.Gone && !old.Gone
 }
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -104,6 +105,49 @@
 	is.True(gone.Lacking[0].Gone)
 }
 
+// TestEntryOutlivesOddRecordsOfItself guards against an entry that counts as gone for good: a record of its
+// address has a serial number to which nothing can be added.
+func TestEntryOutlivesOddRecordsOfItself(t *testing.T) {
+	for _, serial := range []uint64{math.MaxUint64, math.MaxUint64 - 1, 1 << 63, 1<<63 - 1, 1 << 62, 1<<62 - 1, 1 << 40} {
+		for _, gone := range []bool{false, true} {
+			is := is.New(t)
+			v, other := New(entry(1)), New(entry(2))
+			other.Merge(start, v.Records())
+			odd := runs.Member{Entry: entry(1), Serial: serial, Gone: gone}
+			odd.Entry.Incarnation = 3
+			other.Merge(start, []runs.Member{odd})
+			v.Merge(start, other.Records())
+			other.Merge(start, v.Records())
+			is.True(other.IsAlive(entry(1).Address))
+			is.Equal(other.Alive()[1], entry(1))
+			is.Equal(other.Digest(), v.Digest())
+			gone := other.MarkGone(start, entry(1).Address)
+			is.Equal(len(gone.Gone), 1)
+			v.Merge(start, other.Records())
+			other.Merge(start, v.Records())
+			is.True(other.IsAlive(entry(1).Address))
+		}
+	}
+}
+
+// FuzzMerge verifies that an entry is alive in another one's view once they have exchanged their records
+// after an odd one.
+func FuzzMerge(f *testing.F) {
+	f.Add(uint64(math.MaxUint64), uint64(3), true)
+	f.Add(uint64(1<<62), uint64(0), false)
+	f.Fuzz(func(t *testing.T, serial, incarnation uint64, gone bool) {
+		v, other := New(entry(1)), New(entry(2))
+		odd := runs.Member{Entry: entry(1), Serial: serial, Gone: gone}
+		odd.Entry.Incarnation = incarnation
+		other.Merge(start, []runs.Member{odd})
+		v.Merge(start, other.Records())
+		other.Merge(start, v.Records())
+		if !other.IsAlive(entry(1).Address) || other.Alive()[1] != entry(1) {
+			t.Fatalf("not alive: %+v", other.Records())
+		}
+	})
+}
+
 // network is a set of views that exchange their records with their neighbours in rounds.
 type network struct {
 	views       map[string]*View
--- a/core/reach/asks.go
+++ b/core/reach/asks.go
@@ -50,7 +50,7 @@
 			known = &ask{}
 			a.asks.Put(r.Entry.Address, known)
 		}
-		if known.entry.Incarnation == r.Entry.Incarnation && r.Serial < known.serial {
+		if known.entry.Incarnation == r.Entry.Incarnation && runs.IsLater(known.serial, r.Serial) {
 			continue
 		}
 		known.entry, known.serial = r.Entry, r.Serial
