core/batch: jobs out of reach are not scanned; asks of linked entries end

Read again after the reach change: - Jobs out of reach were planned in each scan of the backlog, at the cost of a list of candidates each, though nothing of them could be placed. They no longer count as waiting; the check four times a second brings them back (TestJobsOutOfReachDoNotHoldUpOthers asserts that there is no backlog). - An ask from an entry that the agent is linked to already was kept for its whole retention instead of as long as the entry needs the agent (TestAskOfALinkedEntryEndsWithItsNeed; it failed before). docs/rules.md names what guards against other writers.

--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -368,11 +368,11 @@
 	c.placeBacklog()
 }
 
-// hasWaitingTask reports whether a task that may start has no run.
+// hasWaitingTask reports whether a task that may start, and is not out of reach, has no run.
 func (j *job) hasWaitingTask() bool {
 	for i := range j.steps {
 		s := &j.steps[i]
-		if s.openTasks == 0 || !j.isReady(s) {
+		if s.openTasks == 0 || s.outOfReach || !j.isReady(s) {
 			continue
 		}
 		for _, t := range s.tasks {
--- a/core/batch/reach_test.go
+++ b/core/batch/reach_test.go
@@ -58,6 +58,7 @@
 		}
 	}
 	h.is.Equal(started, 1)
+	h.is.Equal(h.hasBacklog, false) // jobs out of reach are not scanned
 }
 
 // lacksAt ticks the core until the given time, while all agents report, and returns what the entry
--- a/lab/emulator/reach.go
+++ b/lab/emulator/reach.go
@@ -53,6 +53,13 @@
 	for _, e := range a.asks.Receive(a.sim.now, msg.Asks) {
 		a.sim.logEvent("%s agent: link asked for by %s", a.worker.name, e.Address)
 	}
+	for _, ask := range msg.Asks {
+		for other := range a.links.Values() {
+			if other.entry.address == ask.Entry.Address {
+				a.asks.SetLinked(a.sim.now, ask.Entry.Address, true)
+			}
+		}
+	}
 	if msg.Needed {
 		a.asks.Needed(a.sim.now, l.entry.address)
 	}
--- a/service/runner/directory.go
+++ b/service/runner/directory.go
@@ -226,9 +226,15 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, e := range d.asks.Receive(boottime.Now(), list) {
+	now := boottime.Now()
+	for _, e := range d.asks.Receive(now, list) {
 		d.agent.log.Info().Str("entry", e.Address).Uint64("incarnation", e.Incarnation).Msg("agent: link asked for")
 	}
+	for _, ask := range list {
+		if c := d.contacts[ask.Entry.Address]; c != nil && c.link != nil {
+			d.asks.SetLinked(now, ask.Entry.Address, true)
+		}
+	}
 	d.invalidateChoice()
 }
 
--- a/service/runner/directory_test.go
+++ b/service/runner/directory_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"peridotpick.example/common/boottime"
 	"peridotpick.example/common/logs"
 	"peridotpick.example/core/registry"
 	core "peridotpick.example/core/runner"
@@ -368,6 +369,23 @@
 	}
 }
 
+// TestAskOfALinkedEntryEndsWithItsNeed checks that an ask of an entry that is linked already keeps the link
+// no longer than the entry says that it needs the agent.
+func TestAskOfALinkedEntryEndsWithItsNeed(t *testing.T) {
+	is := is.New(t)
+	a := New(Settings{Name: "a", DataCentre: "d"}, Deps{Logs: logs.Discard(), Metrics: metrics.NewRegistry()})
+	e := runs.Entry{Address: "e", Incarnation: 7}
+	a.directory.contacts["e"] = &contact{entry: e, link: &link{}}
+	a.directory.receiveAsks([]runs.Ask{{Entry: e, Serial: 1, Limit: math.MaxUint64}})
+	list, until := a.directory.asks.Entries(boottime.Now())
+	is.Equal(list, []runs.Entry{e})
+	is.True(until.Before(boottime.Now().Add(4 * time.Second)))
+	time.Sleep(10 * time.Millisecond)
+	a.directory.setNeeded("e")
+	_, later := a.directory.asks.Entries(boottime.Now())
+	is.True(later.After(until))
+}
+
 // TestAgentLinksToAllEntriesWhileEndsAreUndelivered checks that the agent works with all entries
 // while it keeps ends that no entry has acknowledged. Any entry may have taken over the job of such
 // an end, and only that one acknowledges it.
