service/batch: questions do not cancel the first read of the durable jobs

Cause: a question about an unknown job cancels the poll in flight, once in 100 ms at most, unless it returns at once; the read of all rows was not marked as one that does, and began with its first page each time. Change: it is marked. Questions wait for its end.

Not part of it: keeping the pages of a read that fails, and answering a question or a submission before all rows are read.

--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -149,6 +149,10 @@
 // returns when the call was sent, which is after all requests for which the poll is made.
 func (d *durableJobs) poll(ctx context.Context, loaded bool, after uint64) (sentAt time.Time, changes Changes, err error) {
 	if !loaded {
+		// Questions wait for this read. If they cancelled it, it would begin with the first page again, and
+		// never end while they come more often than it takes.
+		d.prompt.Store(true)
+		defer d.prompt.Store(false)
 		sentAt = boottime.Now()
 		changes, err = d.entry.deps.Store.ReadJobs(ctx)
 		return sentAt, changes, err
--- a/service/batch/durable_test.go
+++ b/service/batch/durable_test.go
@@ -57,3 +57,32 @@
 		t.Errorf("%d polls answered in 0.4 s, want at most 8", n)
 	}
 }
+
+// slowFirstReadStore is a store whose rows take long to read.
+type slowFirstReadStore struct {
+	emptyStore
+	reads atomic.Int64
+}
+
+func (s *slowFirstReadStore) ReadJobs(ctx context.Context) (Changes, error) {
+	s.reads.Add(1)
+	select {
+	case <-ctx.Done():
+		return Changes{}, ctx.Err()
+	case <-time.After(400 * time.Millisecond):
+		return Changes{Next: 1}, nil
+	}
+}
+
+// TestQuestionsDoNotCancelTheFirstRead guards against entries that restart and never read the durable jobs
+// while callers ask for states: each question cancelled the read, which began with the first page again.
+func TestQuestionsDoNotCancelTheFirstRead(t *testing.T) {
+	store := &slowFirstReadStore{emptyStore: emptyStore{fakeStore: fakeStore{docs: make(chan *Document)}}}
+	e := startEntryOn(t, store)
+	for end := time.Now().Add(3 * time.Second); !e.durable.empty.Load(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the jobs were not read in %d attempts", store.reads.Load())
+		}
+		e.post(func(_ *core.Core, now time.Time) { e.durable.requestPoll(now) })
+	}
+}
