core/batch: after a suspension durable jobs wait for a read of the store

Cause: ownership is confirmed for 5.5 s from a read, and the owner started what waited at its first tick by what it knew before. Change: a job is safe to start only if a read that was sent after the last suspension has been answered; an entry with durable jobs asks for one at once.

Test: TestNothingStartsAfterASuspensionBeforeTheStoreIsRead failed without the change. TestTakenOverJobWaitsForItsPreviousOwner lets time pass in ticks where it jumped half a second, which counts as a suspension; its assertions are as they were.

--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -233,6 +233,8 @@
 	// ownershipUntil is the time until which the entry's ownership of its durable jobs is
 	// confirmed.
 	ownershipUntil time.Time
+	// storeReadAt is when the newest answered read of the changes of durable jobs was sent.
+	storeReadAt time.Time
 	// drains is the view of the drained data centres, whose workers get no new runs.
 	drains drains.State
 	// unrecorded are durable jobs with changes that are not recorded yet.
--- a/core/batch/crash_test.go
+++ b/core/batch/crash_test.go
@@ -199,7 +199,7 @@
 	h := newHarness(t, 4)
 	task := jobName(1) + ".0.0.0"
 	h.MergeSuspects(after(1), []runs.Suspect{{Task: task, LostWorkers: 3, BlamedCrashes: 1}})
-	h.ConfirmOwnership(after(5000))
+	h.ConfirmOwnership(h.now, after(5000))
 	h.RunDurable(after(2), &DurableJob{Job: jobName(1), Queue: queue, Steps: []Step{{Count: 1, Need: need, Estimate: 100 * time.Millisecond}}})
 	h.is.Equal(h.byTask[task].lostWorkers, 3)
 	h.is.Equal(h.byTask[task].isolation(), runs.IsolationExclusive)
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -76,11 +76,29 @@
 const endedRetention = 30 * time.Second
 
 // ConfirmOwnership sets the time until which the entry's ownership of its durable jobs is
-// confirmed. An earlier time than the present one is ignored.
-func (c *Core) ConfirmOwnership(until time.Time) {
+// confirmed, by an answered read of the store that was sent at sentAt. An earlier time than the present
+// one is ignored.
+func (c *Core) ConfirmOwnership(sentAt, until time.Time) {
 	if until.After(c.ownershipUntil) {
 		c.ownershipUntil = until
 	}
+	if sentAt.After(c.storeReadAt) {
+		c.storeReadAt = sentAt
+	}
+}
+
+// AwaitsStore reports whether the entry has not read the store since its last suspension, and has
+// durable jobs that wait for it. Nothing of them starts before: they may have been cancelled.
+func (c *Core) AwaitsStore() bool {
+	if !c.storeReadAt.Before(c.resumedAt) {
+		return false
+	}
+	for j := range c.jobs.Values() {
+		if j.durable != nil && !j.ended {
+			return true
+		}
+	}
+	return false
 }
 
 // checkOwnership disowns all durable jobs once the confirmation has expired and another entry may
--- a/core/batch/durable_test.go
+++ b/core/batch/durable_test.go
@@ -16,7 +16,7 @@
 	if edit != nil {
 		edit(d)
 	}
-	h.ConfirmOwnership(now.Add(5 * time.Second))
+	h.ConfirmOwnership(now, now.Add(5*time.Second))
 	h.RunDurable(now, d)
 	return h.flush(now)
 }
@@ -99,6 +99,7 @@
 	h := newHarness(t, 1)
 	takenOver := func(d *DurableJob) { d.Epoch, d.SafeAt = 2, after(1000) }
 	h.is.Equal(len(startsByLink(h.own(begin, 1, 2, takenOver))), 0)
+	h.advanceTo(after(450))
 	// Ends are accepted at once, but nothing starts.
 	out := h.reportHeldEnd(after(500), 0, 1, 0, 3, runs.OutcomeDone)
 	h.is.Equal(len(startsByLink(out)[0]), 0)
@@ -295,3 +296,28 @@
 		h.is.Equal(s.Key.Job(), jobName(2))
 	}
 }
+
+// TestNothingStartsAfterASuspensionBeforeTheStoreIsRead guards against starts of jobs that were cancelled
+// while the entry stood still: what it owned before may have changed since.
+func TestNothingStartsAfterASuspensionBeforeTheStoreIsRead(t *testing.T) {
+	h := newHarness(t, 2)
+	for id := 1; id <= 2; id++ {
+		h.own(begin, id, 1, func(d *DurableJob) { d.SafeAt = after(1000) })
+	}
+	h.advanceTo(after(900))
+	h.is.Equal(h.AwaitsStore(), false)
+	starts := func(ms int) int {
+		h.receiveReport(after(ms), 0, nil)
+		h.Tick(after(ms))
+		out := startsByLink(h.flush(after(ms)))
+		return len(out[0]) + len(out[1])
+	}
+	h.is.Equal(starts(4000), 0)
+	h.is.True(h.AwaitsStore())
+	h.ConfirmOwnership(after(3990), after(9490)) // sent before the suspension was over
+	h.is.Equal(starts(4020), 0)
+	h.CancelDurable(after(4030), jobName(1))
+	h.ConfirmOwnership(after(4010), after(9510))
+	h.is.Equal(h.AwaitsStore(), false)
+	h.is.Equal(starts(4040), 1)
+}
--- a/core/batch/reach_test.go
+++ b/core/batch/reach_test.go
@@ -69,7 +69,7 @@
 		if report != nil {
 			report(now)
 		}
-		h.ConfirmOwnership(now.Add(5 * time.Second))
+		h.ConfirmOwnership(now, now.Add(5*time.Second))
 		h.Tick(now)
 		_, lacks = h.Lacks(now, 8, true)
 		h.flush(now)
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -258,6 +258,9 @@
 	return c.confirmedAt.Add(c.settings.OwnershipTTL)
 }
 
+// ConfirmedAt returns when the newest answered poll of the changes was sent; zero if there was none.
+func (c *Core) ConfirmedAt() time.Time { return c.confirmedAt }
+
 func (c *Core) isConfirmed() bool { return c.now.Before(c.OwnedUntil()) }
 
 // SaveRecord stores the progress of a job that the entry runs.
--- a/core/ledger/row_test.go
+++ b/core/ledger/row_test.go
@@ -121,7 +121,7 @@
 func runRow(r *Row) {
 	now := time.Unix(1000, 0)
 	c := batch.New(batch.DefaultSettings())
-	c.ConfirmOwnership(now.Add(time.Hour))
+	c.ConfirmOwnership(now, now.Add(time.Hour))
 	c.RunDurable(now, &batch.DurableJob{
 		Job: "0000000000000001", Queue: &catalog.Queue{Name: "q", Service: "s", MaxAttempts: 1, Stretch: 2}, Spec: r.Spec, Steps: r.Steps,
 		Epoch: r.Epoch, StartedEpoch: r.StartedEpoch, Progress: r.Progress,
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -137,7 +137,7 @@
 		}
 	}
 	ledgerOut := e.ledger.Flush()
-	e.core.ConfirmOwnership(e.ledger.OwnedUntil())
+	e.core.ConfirmOwnership(e.ledger.ConfirmedAt(), e.ledger.OwnedUntil())
 	for _, n := range ledgerOut.Decisions {
 		e.sim.logEvent("%s ledger %s %s epoch %d %s", e.address, n.Event, n.Job, n.Epoch, n.Reason)
 	}
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -234,6 +234,9 @@
 func (d *durableJobs) tick(now time.Time) {
 	d.ledger.RecordAlive(now, d.entry.peers.recentlyHeard())
 	d.ledger.Tick(now)
+	if d.entry.core.AwaitsStore() {
+		d.requestPoll(now)
+	}
 	d.limiter.SetLimit(rate.Limit(d.totalRate / float64(d.entry.peers.aliveCount())))
 }
 
@@ -245,7 +248,7 @@
 func (d *durableJobs) handleLedgerOutput(now time.Time) bool {
 	out := d.ledger.Flush()
 	e := d.entry
-	e.core.ConfirmOwnership(d.ledger.OwnedUntil())
+	e.core.ConfirmOwnership(d.ledger.ConfirmedAt(), d.ledger.OwnedUntil())
 	for _, w := range out.Writes {
 		d.writers[e.deps.Store.JobPartition(w.Job)].enqueue(w)
 	}
