--- /dev/null
+++ b/review/stand-3/executor.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	maxHold       = 1000 // ms, the bound max_hold_ms
+	heartbeat     = 1500 * time.Millisecond
+	maxListedEnds = 500
+)
+
+// running is a run at an executor.
+type running struct {
+	task  string
+	run   uint32
+	began time.Time
+	work  time.Duration
+	cpu   int
+}
+
+type ended struct {
+	number int64
+	task   string
+	run    uint32
+	how    string
+}
+
+// start is a start that an executor has begun.
+type start struct {
+	executor, task string
+	run            uint32
+	at             time.Time
+}
+
+// executor is a sound stand-in for an executor that doesn't guard its room, after PROTOCOL.md. It holds no
+// checkpoints.
+type executor struct {
+	id, service, zone, rack string
+	address, control        string
+	cpu                     int
+	// slowness multiplies the time that runs take which begin from now on.
+	slowness float64
+	world    *world
+	began    time.Time
+	mu       sync.Mutex
+	runs     map[string]*running
+	highest  map[string]uint32 // highest run of each task that was stopped or has ended
+	ends     []ended
+	number   int64
+	token    int64
+	deadline int64
+	gone     bool
+	changed  chan struct{}
+}
+
+func (e *executor) clock() int64 { return time.Since(e.began).Milliseconds() + 1000 }
+
+// serve answers calls and announces the executor until the world ends.
+func (e *executor) serve() error {
+	e.began = time.Now()
+	e.slowness = 1
+	e.runs, e.highest, e.changed = make(map[string]*running), make(map[string]uint32), make(chan struct{})
+	if err := listenAndServe(e.address, e); err != nil {
+		return err
+	}
+	go e.announce()
+	go func() {
+		for {
+			time.Sleep(2 * time.Millisecond)
+			e.mu.Lock()
+			e.advance()
+			e.mu.Unlock()
+		}
+	}()
+	return nil
+}
+
+func (e *executor) announce() {
+	client := &http.Client{Timeout: time.Second}
+	for seq := 1; ; seq++ {
+		body, _ := json.Marshal(map[string]any{
+			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+			"capacity": map[string]int{"cpu": e.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", e.rack}, "clock_ms": e.clock(), "seq": seq,
+		})
+		req, _ := http.NewRequest(http.MethodPut, "http://"+e.control+"/instances/"+e.id, bytes.NewReader(body))
+		req.Header.Set("Content-Type", "application/json")
+		pause := heartbeat
+		if resp, err := client.Do(req); err == nil {
+			_ = resp.Body.Close()
+		} else {
+			pause = 200 * time.Millisecond
+		}
+		time.Sleep(pause)
+	}
+}
+
+// advance ends what is done or has lost its lease; the caller holds the lock.
+func (e *executor) advance() {
+	lapsed := e.clock() > e.deadline
+	for _, r := range e.runs {
+		switch {
+		case lapsed:
+			e.end(r, "lapsed")
+		case time.Since(r.began) >= r.work:
+			e.end(r, "done")
+		}
+	}
+}
+
+func (e *executor) end(r *running, how string) {
+	delete(e.runs, r.task)
+	e.highest[r.task] = max(e.highest[r.task], r.run)
+	e.number++
+	e.ends = append(e.ends, ended{e.number, r.task, r.run, how})
+	close(e.changed)
+	e.changed = make(chan struct{})
+	e.world.record.line("executor %s ends %s run %d: %s", e.id, r.task, r.run, how)
+	e.world.noteEnd(e, r, how)
+}
+
+type orderBody struct {
+	Task     string `json:"task"`
+	Run      uint32 `json:"run_id"`
+	Spec     string `json:"spec"`
+	Deadline int64  `json:"deadline_ms"`
+	Token    int64  `json:"fencing_token"`
+	LastSeen int64  `json:"last_seen"`
+	Wait     int64  `json:"wait_ms"`
+}
+
+func (e *executor) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if want := req.Header.Get("Expect-Instance"); want != "" && want != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	var o orderBody
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	if o.Token < e.token {
+		e.reply(w, http.StatusConflict, map[string]any{"reason": "fence"})
+		return
+	}
+	e.token = o.Token
+	switch req.URL.Path {
+	case "/run-start":
+		e.start(w, &o)
+	case "/run-stop":
+		e.highest[o.Task] = max(e.highest[o.Task], o.Run)
+		if r := e.runs[o.Task]; r != nil && r.run == o.Run {
+			e.end(r, "stopped")
+		}
+		e.reply(w, http.StatusOK, map[string]any{})
+	case "/hold":
+		e.hold(w, req, &o)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (e *executor) reply(w http.ResponseWriter, status int, body map[string]any) {
+	body["clock_ms"] = e.clock()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// renew takes the lease of a call; it never shortens.
+func (e *executor) renew(deadline int64) {
+	e.deadline = max(e.deadline, min(deadline, e.clock()+maxHold))
+}
+
+func (e *executor) start(w http.ResponseWriter, o *orderBody) {
+	if r := e.runs[o.Task]; r != nil && r.run == o.Run {
+		e.renew(o.Deadline)
+		e.reply(w, http.StatusOK, map[string]any{})
+		return
+	}
+	if o.Run <= e.highest[o.Task] || e.runs[o.Task] != nil {
+		e.renew(o.Deadline)
+		e.reply(w, http.StatusConflict, map[string]any{"reason": "old"})
+		return
+	}
+	if o.Deadline <= e.clock() {
+		e.reply(w, http.StatusConflict, map[string]any{"reason": "late"})
+		return
+	}
+	e.renew(o.Deadline)
+	work, cpu := e.world.workOf(o.Task)
+	r := &running{task: o.Task, run: o.Run, began: time.Now(), work: time.Duration(float64(work) * e.slowness), cpu: cpu}
+	e.runs[o.Task] = r
+	e.world.record.line("executor %s starts %s run %d", e.id, o.Task, o.Run)
+	e.world.noteStart(e, r)
+	e.reply(w, http.StatusOK, map[string]any{})
+}
+
+func (e *executor) hold(w http.ResponseWriter, req *http.Request, o *orderBody) {
+	e.renew(o.Deadline)
+	kept := e.ends[:0]
+	for _, x := range e.ends {
+		if x.number > o.LastSeen {
+			kept = append(kept, x)
+		}
+	}
+	e.ends = kept
+	end := time.After(time.Duration(min(o.Wait, 2000)) * time.Millisecond)
+	for len(e.ends) == 0 && o.Wait > 0 {
+		changed := e.changed
+		e.mu.Unlock()
+		stop := false
+		select {
+		case <-changed:
+		case <-end:
+			stop = true
+		case <-req.Context().Done():
+			stop = true
+		}
+		e.mu.Lock()
+		if stop {
+			break
+		}
+	}
+	runRows, endRows := [][]any{}, [][]any{}
+	for _, r := range e.runs {
+		percent := min(100, int(100*time.Since(r.began)/max(r.work, 1)))
+		runRows = append(runRows, []any{r.task, r.run, "", percent, r.cpu})
+	}
+	sort.Slice(runRows, func(i, k int) bool { return runRows[i][0].(string) < runRows[k][0].(string) })
+	for _, x := range e.ends[:min(len(e.ends), maxListedEnds)] {
+		endRows = append(endRows, []any{x.number, x.task, x.run, x.how, ""})
+	}
+	e.reply(w, http.StatusOK, map[string]any{"running": runRows, "ended": endRows})
+}
+
+// jobOf returns the job's ID in a task's name.
+func jobOf(task string) string { return strings.SplitN(task, ".", 2)[0] }
+
+// stepOf returns the step in a task's name.
+func stepOf(task string) (step int) {
+	_, _ = fmt.Sscan(strings.Split(task, ".")[2], &step)
+	return step
+}
