--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -31,6 +31,9 @@
 	task   string
 	run    uint32
 	how    string
+	at     time.Time
+	// lapsed is set once the executor's lease has lapsed after the end, and before it was taken note of.
+	lapsed bool
 }
 
 // start is a start that an executor has begun.
@@ -86,13 +89,23 @@
 func (e *executor) announce() {
 	client := &http.Client{Timeout: time.Second}
 	for seq := 1; ; seq++ {
+		e.mu.Lock()
+		id := e.id
+		e.mu.Unlock()
 		body, _ := json.Marshal(map[string]any{
 			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 			"capacity": map[string]int{"cpu": e.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", e.rack}, "clock_ms": e.clock(), "seq": seq,
 		})
-		req, _ := http.NewRequest(http.MethodPut, "http://"+e.control+"/instances/"+e.id, bytes.NewReader(body))
+		req, _ := http.NewRequest(http.MethodPut, "http://"+e.control+"/instances/"+id, bytes.NewReader(body))
 		req.Header.Set("Content-Type", "application/json")
 		pause := heartbeat
+		e.mu.Lock()
+		gone := e.gone
+		e.mu.Unlock()
+		if gone {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
 		if resp, err := client.Do(req); err == nil {
 			_ = resp.Body.Close()
 		} else {
@@ -105,6 +118,9 @@
 // advance ends what is done or has lost its lease; the caller holds the lock.
 func (e *executor) advance() {
 	lapsed := e.clock() > e.deadline
+	for i := range e.ends {
+		e.ends[i].lapsed = e.ends[i].lapsed || lapsed
+	}
 	for _, r := range e.runs {
 		switch {
 		case lapsed:
@@ -119,7 +135,7 @@
 	delete(e.runs, r.task)
 	e.highest[r.task] = max(e.highest[r.task], r.run)
 	e.number++
-	e.ends = append(e.ends, ended{e.number, r.task, r.run, how})
+	e.ends = append(e.ends, ended{number: e.number, task: r.task, run: r.run, how: how, at: time.Now()})
 	close(e.changed)
 	e.changed = make(chan struct{})
 	e.world.record.line("executor %s ends %s run %d: %s", e.id, r.task, r.run, how)
@@ -132,12 +148,16 @@
 	Spec     string `json:"spec"`
 	Deadline int64  `json:"deadline_ms"`
 	Token    int64  `json:"fencing_token"`
+	Ticket   string `json:"ticket"`
 	LastSeen int64  `json:"last_seen"`
 	Wait     int64  `json:"wait_ms"`
 }
 
 func (e *executor) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	if want := req.Header.Get("Expect-Instance"); want != "" && want != e.id {
+	e.mu.Lock()
+	id := e.id
+	e.mu.Unlock()
+	if want := req.Header.Get("Expect-Instance"); want != "" && want != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -146,9 +166,38 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if late := e.world.lateness(); late > 0 && e.world.appliesLate != nil && e.world.appliesLate(e) {
+		go func() {
+			time.Sleep(late)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.id == id && !e.gone {
+				e.world.record.line("executor %s carries out %s %s run %d late", e.id, req.URL.Path, o.Task, o.Run)
+				e.advance()
+				e.order(discard{}, req, &o)
+			}
+		}()
+		time.Sleep(5 * time.Second) // no answer
+		panic(http.ErrAbortHandler)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.gone {
+		panic(http.ErrAbortHandler)
+	}
 	e.advance()
+	e.order(w, req, &o)
+}
+
+// discard is a response that nobody gets.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
+// order carries out a call; the caller holds the lock.
+func (e *executor) order(w http.ResponseWriter, req *http.Request, o *orderBody) {
 	if o.Token < e.token {
 		e.reply(w, http.StatusConflict, map[string]any{"reason": "fence"})
 		return
@@ -156,7 +205,7 @@
 	e.token = o.Token
 	switch req.URL.Path {
 	case "/run-start":
-		e.start(w, &o)
+		e.start(w, o)
 	case "/run-stop":
 		e.highest[o.Task] = max(e.highest[o.Task], o.Run)
 		if r := e.runs[o.Task]; r != nil && r.run == o.Run {
@@ -164,7 +213,7 @@
 		}
 		e.reply(w, http.StatusOK, map[string]any{})
 	case "/hold":
-		e.hold(w, req, &o)
+		e.hold(w, req, o)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -198,6 +247,10 @@
 		return
 	}
 	e.renew(o.Deadline)
+	if e.world.needsTicket(o.Task) && !e.world.tickets[o.Ticket] {
+		e.reply(w, http.StatusConflict, map[string]any{"reason": "ticket"})
+		return
+	}
 	work, cpu := e.world.workOf(o.Task)
 	r := &running{task: o.Task, run: o.Run, began: time.Now(), work: time.Duration(float64(work) * e.slowness), cpu: cpu}
 	e.runs[o.Task] = r
@@ -212,7 +265,9 @@
 	for _, x := range e.ends {
 		if x.number > o.LastSeen {
 			kept = append(kept, x)
+			continue
 		}
+		e.world.noteTaken(x)
 	}
 	e.ends = kept
 	end := time.After(time.Duration(min(o.Wait, 2000)) * time.Millisecond)
@@ -252,3 +307,26 @@
 	_, _ = fmt.Sscan(strings.Split(task, ".")[2], &step)
 	return step
 }
+
+// crash ends the executor's life; after a while it has a new one.
+func (e *executor) crash(down time.Duration) {
+	e.mu.Lock()
+	if e.gone {
+		e.mu.Unlock()
+		return
+	}
+	e.gone = true
+	e.world.record.line("trouble  executor %s crashes", e.id)
+	for task, r := range e.runs {
+		e.world.noteEnd(e, r, "crashed")
+		delete(e.runs, task)
+	}
+	e.ends = nil
+	e.mu.Unlock()
+	time.Sleep(down)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.id, e.began, e.number, e.token, e.deadline = newExecutorID(), time.Now(), 0, 0, 0
+	e.highest, e.gone = make(map[string]uint32), false
+	e.world.record.line("trouble  executor %s is up", e.id)
+}
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -64,6 +64,7 @@
 type entry struct {
 	name, ip string
 	store    *link
+	front    *front
 	process  *process
 }
 
@@ -80,8 +81,49 @@
 	starts    []start
 	ends      []finish
 	processes []*process
+	// taken are the ends that were taken note of, with the time of the end.
+	taken []taken
+	// appliesLate tells whether a call to an executor stays unanswered and is carried out late; nil if none is.
+	appliesLate func(*executor) bool
+	// advised are the jobs of queues with advice, and tickets those that the advice service has given.
+	advised, tickets map[string]bool
+	// onStart is called for each start, with the executor's lock held; it may be nil.
+	onStart func(*executor, *running)
 }
 
+// taken is an end that was taken note of.
+type taken struct {
+	task  string
+	run   uint32
+	how   string
+	ended time.Time
+	noted time.Time
+}
+
+// noteTaken notes that an end was taken note of, unless the lease had lapsed between the two.
+func (w *world) noteTaken(x ended) {
+	if x.lapsed {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.taken = append(w.taken, taken{x.task, x.run, x.how, x.at, time.Now()})
+}
+
+// needsTicket reports whether a start of a task needs a ticket.
+func (w *world) needsTicket(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.advised[jobOf(task)]
+}
+
+// lateness returns how late a call is carried out that stays unanswered.
+func (w *world) lateness() time.Duration {
+	return 2*time.Second + time.Duration(rand.IntN(10_000))*time.Millisecond
+}
+
+func newExecutorID() string { return fmt.Sprintf("i-%08x", rand.Uint32()) }
+
 type taskWork struct {
 	work time.Duration
 	cpu  int
@@ -96,6 +138,9 @@
 }
 
 func (w *world) noteStart(e *executor, r *running) {
+	if w.onStart != nil {
+		w.onStart(e, r)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts = append(w.starts, start{e.id, r.task, r.run, time.Now()})
@@ -138,13 +183,16 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, record: rec, store: newStore(rec), works: make(map[string]map[int]taskWork)}
+	w := &world{dir: dir, record: rec, store: newStore(rec), works: make(map[string]map[int]taskWork), advised: make(map[string]bool), tickets: make(map[string]bool)}
 	current = w
 	w.net = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 	storeAt := at(w.net+".250", portStore)
 	if err := listenAndServe(storeAt, w.store); err != nil {
 		return nil, err
 	}
+	if err := listenAndServe(at(w.net+".251", portStore), http.HandlerFunc(w.advise)); err != nil {
+		return nil, err
+	}
 	w.store.put("op", "config", configuration(1, "r-main"))
 	var seeds []string
 	for i := range min(entries, 3) {
@@ -154,24 +202,30 @@
 		ip := w.ip(1 + i)
 		name := fmt.Sprintf("frontend-%d", i)
 		path := at(w.ip(101+i), portStore)
-		l, err := newLink(path, storeAt)
+		f := &front{store: w.store, record: rec, name: name}
+		if err := listenAndServe(at(w.ip(201+i), portStore), f); err != nil {
+			return nil, err
+		}
+		l, err := newLink(path, at(w.ip(201+i), portStore))
 		if err != nil {
 			return nil, err
 		}
 		boot := bootFile(name, "frontend", ip, zones[i%len(zones)], path, seeds)
 		boot["listen"] = map[string]string{"frontend": at(ip, portFront), "ready": at(ip, portReady), "control": at(ip, portControl)}
+		boot["advice"] = at(w.net+".251", portStore)
 		boot["limits"] = map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0}
 		p, err := w.newProcess(name, boot, "target/peridotpick", "dispatch")
 		if err != nil {
 			return nil, err
 		}
-		w.entries = append(w.entries, &entry{name: name, ip: ip, store: l, process: p})
+		w.entries = append(w.entries, &entry{name: name, ip: ip, store: l, front: f, process: p})
 	}
 	for i := range sides {
 		ip := w.ip(31 + i)
 		name := fmt.Sprintf("side-%d", i)
 		boot := bootFile(name, "side", ip, zones[i%len(zones)], storeAt, seeds)
 		boot["listen"] = map[string]string{"control": at(ip, portControl)}
+		boot["advice"] = at(w.net+".251", portStore)
 		boot["limits"] = map[string]any{"cpu_share": 0.24, "cores": 1, "memory_mb": 152, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 0}
 		boot["app"], boot["service"] = at(ip, portApp), "tally"
 		p, err := w.newProcess(name, boot, "target/peridotpick-agent", "supervise")
@@ -180,7 +234,7 @@
 		}
 		w.sides = append(w.sides, p)
 		x := &executor{
-			id: fmt.Sprintf("i-%08x", rand.Uint32()), service: "tally", zone: zones[i%len(zones)], rack: fmt.Sprintf("r1-%d", i/3),
+			id: newExecutorID(), service: "tally", zone: zones[i%len(zones)], rack: fmt.Sprintf("r1-%d", i/3),
 			address: at(ip, portApp), control: at(ip, portControl), cpu: cpu, world: w,
 		}
 		if err := x.serve(); err != nil {
