--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -51,6 +52,8 @@
 	cpu                     int
 	// slowness multiplies the time that runs take which begin from now on.
 	slowness float64
+	// mute is set while the executor leaves all calls unanswered and does nothing for them.
+	mute     atomic.Bool
 	world    *world
 	began    time.Time
 	mu       sync.Mutex
@@ -166,6 +169,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if e.mute.Load() {
+		<-req.Context().Done() // nothing is done, and no answer comes
+		panic(http.ErrAbortHandler)
+	}
 	if late := e.world.lateness(); late > 0 && e.world.appliesLate != nil && e.world.appliesLate(e) {
 		go func() {
 			time.Sleep(late)
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -364,6 +364,7 @@
 	Memory   int   `json:"mem_mb"`
 	Estimate int   `json:"estimate_ms"`
 	After    []int `json:"after,omitempty"`
+	Apart    int   `json:"anti_affinity,omitempty"`
 	// work is how long a task takes on a sound executor.
 	work time.Duration
 }
