--- a/review/stand-3/soak.go
+++ b/review/stand-3/soak.go
@@ -83,6 +83,9 @@
 			kind := kinds[rng.IntN(len(kinds))]
 			e, s, x := w.entries[rng.IntN(len(w.entries))], w.sides[rng.IntN(len(w.sides))], w.executors[rng.IntN(len(w.executors))]
 			length := time.Duration(500+rng.IntN(4500)) * time.Millisecond
+			if os.Getenv("SHORT") != "" {
+				length = time.Duration(100+rng.IntN(1500)) * time.Millisecond
+			}
 			w.disrupt(kind, e, s, x, length)
 		}
 	}
