--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -64,7 +64,10 @@
 	token    int64
 	deadline int64
 	gone     bool
-	changed  chan struct{}
+	// draining is set while the executor says that it leaves; drainAcked is when that was acknowledged first.
+	draining   bool
+	drainAcked time.Time
+	changed    chan struct{}
 }
 
 func (e *executor) clock() int64 { return time.Since(e.began).Milliseconds() + 1000 }
@@ -96,13 +99,18 @@
 		id := e.id
 		e.mu.Unlock()
 		body, _ := json.Marshal(map[string]any{
-			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": e.state(), "cold_left_ms": 0,
 			"capacity": map[string]int{"cpu": e.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", e.rack}, "clock_ms": e.clock(), "seq": seq,
 		})
 		req, _ := http.NewRequest(http.MethodPut, "http://"+e.control+"/instances/"+id, bytes.NewReader(body))
 		req.Header.Set("Content-Type", "application/json")
 		pause := heartbeat
 		e.mu.Lock()
+		if e.draining {
+			pause = 300 * time.Millisecond
+		}
+		e.mu.Unlock()
+		e.mu.Lock()
 		gone := e.gone
 		e.mu.Unlock()
 		if gone {
@@ -111,6 +119,11 @@
 		}
 		if resp, err := client.Do(req); err == nil {
 			_ = resp.Body.Close()
+			e.mu.Lock()
+			if e.draining && id == e.id && e.drainAcked.IsZero() && resp.StatusCode == http.StatusOK {
+				e.drainAcked = time.Now()
+			}
+			e.mu.Unlock()
 		} else {
 			pause = 200 * time.Millisecond
 		}
@@ -337,3 +350,45 @@
 	e.highest, e.gone = make(map[string]uint32), false
 	e.world.record.line("trouble  executor %s is up", e.id)
 }
+
+func (e *executor) state() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// leave drains the executor and ends it; after a while it has a new life.
+func (e *executor) leave(serves, down time.Duration) {
+	e.mu.Lock()
+	if e.gone || e.draining {
+		e.mu.Unlock()
+		return
+	}
+	e.draining = true
+	e.world.record.line("trouble  executor %s drains", e.id)
+	e.mu.Unlock()
+	for range 250 {
+		time.Sleep(20 * time.Millisecond)
+		e.mu.Lock()
+		acked := !e.drainAcked.IsZero()
+		e.mu.Unlock()
+		if acked {
+			break
+		}
+	}
+	time.Sleep(serves)
+	e.mu.Lock()
+	id := e.id
+	e.mu.Unlock()
+	req, _ := http.NewRequest(http.MethodDelete, "http://"+e.control+"/instances/"+id, nil)
+	if resp, err := (&http.Client{Timeout: time.Second}).Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+	e.crash(down)
+	e.mu.Lock()
+	e.draining, e.drainAcked = false, time.Time{}
+	e.mu.Unlock()
+}
--- a/review/stand-3/soak.go
+++ b/review/stand-3/soak.go
@@ -51,7 +51,10 @@
 		return cannot(err)
 	}
 	j := &judge{rec: rec}
-	w.onStart = func(e *executor, _ *running) {
+	w.onStart = func(e *executor, r *running) {
+		if !e.drainAcked.IsZero() && time.Since(e.drainAcked) > 2*time.Second {
+			j.fail("DRAIN: %s starts at %s, %.1f s after the drain was acknowledged", r.task, e.id, time.Since(e.drainAcked).Seconds())
+		}
 		used := 0
 		for _, r := range e.runs {
 			used += r.cpu
@@ -173,6 +176,12 @@
 		}
 		_ = p.start()
 		w.record.line("trouble  %s is started", p.name)
+	case "leave":
+		go x.leave(2200*time.Millisecond+length, length)
+	case "mute":
+		w.record.line("trouble  executor %s is mute for %s", x.id, length)
+		x.mute.Store(true)
+		later(func() { x.mute.Store(false) })
 	case "crash":
 		go x.crash(length)
 	case "late":
