core/ledger: a line for each job that is said not to exist

Logs could not tell whether an entry that acknowledges the end of an unknown job, or answers 410 to a cancel, had read all rows by then.

--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -20,6 +20,7 @@
 func (c *Core) ApplyChanges(now time.Time, rows []StoredRow, sentAt time.Time) {
 	c.now = now
 	for i := range rows {
+		c.newestVersion = max(c.newestVersion, rows[i].Version)
 		c.applyRow(&rows[i])
 	}
 	if sentAt.After(c.confirmedAt) {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -104,7 +104,8 @@
 	Event string
 	Job   string
 	Queue string
-	// Version is the version of the row, Epoch the epoch of its owner.
+	// Version is the version of the row, or of the newest row that was read if the job is unknown. Epoch
+	// is the epoch of its owner.
 	Version, Epoch uint64
 	Reason         string
 	// ConfirmationAge is the time since the newest confirmation of ownership.
@@ -164,12 +165,14 @@
 	// changes was sent.
 	loaded      bool
 	confirmedAt time.Time
-	startedAt   time.Time
-	scannedAt   time.Time
-	sweptAt     time.Time
-	lastWriteID uint64
-	now         time.Time
-	out         Output
+	// newestVersion is the newest version of a row that was read.
+	newestVersion uint64
+	startedAt     time.Time
+	scannedAt     time.Time
+	sweptAt       time.Time
+	lastWriteID   uint64
+	now           time.Time
+	out           Output
 }
 
 // New returns a ledger without jobs.
--- a/core/ledger/requests.go
+++ b/core/ledger/requests.go
@@ -48,6 +48,7 @@
 	case j == nil && !c.IsCurrent(requestedAt):
 		c.answer(id, errkind.StoreUnavailable)
 	case j == nil:
+		c.logDenial(name, "cancelled by its caller")
 		c.answer(id, errkind.NotFound)
 	case j.row.State == batch.JobCancelled:
 		c.answer(id, errkind.OK)
@@ -91,8 +92,11 @@
 	c.now = now
 	j := c.jobs[end.Key.Job()]
 	switch {
+	case j == nil && c.isConfirmedAbsent(end.Key.Job()):
+		c.logDenial(end.Key.Job(), "a run of it has ended")
+		return true, false
 	case j == nil:
-		return c.isConfirmedAbsent(end.Key.Job()), false
+		return false, false
 	case !j.row.State.Ended():
 		return false, false
 	case j.row.State == batch.JobCancelled, end.Outcome != runs.OutcomeDone && end.Outcome != runs.OutcomeFailed, j.row.isCompletingRun(end.Key):
@@ -121,6 +125,13 @@
 	return c.loaded && c.confirmedAt.After(asked)
 }
 
+// logDenial logs that a job is said not to exist, and what was asked for.
+func (c *Core) logDenial(name, question string) {
+	c.out.Decisions = append(c.out.Decisions, Decision{
+		Event: "deny", Job: name, Version: c.newestVersion, Reason: question, ConfirmationAge: c.now.Sub(c.confirmedAt),
+	})
+}
+
 func (c *Core) answer(id RequestID, kind errkind.Kind) {
 	c.out.Answers = append(c.out.Answers, Answer{Request: id, Kind: kind})
 }
