core/ledger: a part of the changes is not taken for all of them

Cause: an answer of the store's feed may have a part of the changes, and no field of it tells. Each answer was taken for all changes up to the sending of its call, and on that time rests what an entry says about jobs that it does not know. An entry that read what it had missed told agents that jobs did not exist which it had not come to; the workers forgot the ends, and the next owner ran the tasks again.

Ruled out: the takeover and the agents (the ends were denied before); a number of rows that tells a part (it is a property of one store).

Change: ledger.Horizon. An answer with changes proves nothing. A poll without changes proves the time of its sending; a call that tells the newest version of the store proves its sending once the changes are read up to that. Own writes tell it anyway; otherwise it is read, at most once a second, or for questions that wait. Known parts are followed by the next at once. The position after a part is that of its last row.

Tests: fakes of the store now give parts, as its page allows; those of service/batch tell an answer without changes by its own field.

--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -8,24 +8,44 @@
 	"peridotpick.example/wire/runs"
 )
 
-// LoadRows takes all rows of the store, as read by a call that was sent at sentAt.
-func (c *Core) LoadRows(now time.Time, rows []StoredRow, sentAt time.Time) {
+// LoadRows takes all rows of the store. With them all rows are known that were stored before knownAt.
+func (c *Core) LoadRows(now time.Time, rows []StoredRow, knownAt time.Time) {
 	c.loaded = true
-	c.ApplyChanges(now, rows, sentAt)
+	c.ApplyChanges(now, rows, knownAt)
 }
 
-// ApplyChanges takes the rows that have changed, as read by a poll that was sent at sentAt. The poll
-// confirms the ownership of all jobs that it does not show as taken by another entry. A zero sentAt
-// confirms nothing.
-func (c *Core) ApplyChanges(now time.Time, rows []StoredRow, sentAt time.Time) {
+// ApplyChanges takes rows that have changed. With them all rows are known that were stored before
+// knownAt, as a Horizon tells. That confirms the ownership of all jobs that no row shows as taken by
+// another entry.
+func (c *Core) ApplyChanges(now time.Time, rows []StoredRow, knownAt time.Time) {
 	c.now = now
 	for i := range rows {
 		c.newestVersion = max(c.newestVersion, rows[i].Version)
 		c.applyRow(&rows[i])
 	}
-	if sentAt.After(c.confirmedAt) {
-		c.confirmedAt = sentAt
+	c.confirmedAt = later(c.confirmedAt, knownAt)
+	c.startConfirmed()
+}
+
+// Confirm takes a later time before which all known rows were stored, without new rows.
+func (c *Core) Confirm(now, knownAt time.Time) {
+	c.now = now
+	before := c.isConfirmed()
+	c.confirmedAt = later(c.confirmedAt, knownAt)
+	if !before && c.isConfirmed() {
+		c.startConfirmed()
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
+}
+
+// startConfirmed starts the jobs that have waited for the confirmation of ownership.
+func (c *Core) startConfirmed() {
 	for _, name := range sortedNames(c.active) {
 		c.startIfConfirmed(c.active[name])
 		if c.active[name].needsEpoch {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -5,10 +5,9 @@
 // has the version that the writer last read. The row names the entry that owns the job. Every entry
 // reads the changes of all rows, so each one knows the state of every job and can take it over.
 //
-// Ownership. An entry runs a job only while its ownership of that job is confirmed. A poll of the
-// changes confirms it: once the poll is answered, no other entry can have taken the job before the
-// poll was sent. A confirmation is valid for Settings.OwnershipTTL, counted from the sending of the
-// poll. An entry that takes a job over from an owner that may still be alive waits for that time,
+// Ownership. An entry runs a job only while its ownership of that job is confirmed. Once all rows are
+// known that were stored before a time, no other entry can have taken the job before it; Horizon
+// decides when they are. A confirmation is valid for Settings.OwnershipTTL, counted from that time. An entry that takes a job over from an owner that may still be alive waits for that time,
 // and for the leases of the owner's runs to expire, before it starts any task. Its row then tells
 // that it may have started some. If it loses the job before that, the next owner waits for the runs
 // of the one before it instead (Row.LastStarter).
@@ -39,8 +38,8 @@
 // Settings configures a Core.
 type Settings struct {
 	Self runs.Entry
-	// OwnershipTTL is how long a confirmation of ownership is valid, counted from the sending of
-	// the poll that confirmed it.
+	// OwnershipTTL is how long a confirmation of ownership is valid, counted from the time before
+	// which all rows are known.
 	OwnershipTTL time.Duration
 	// RunExpiry is the time after which all runs of an entry that is gone have ended.
 	RunExpiry time.Duration
@@ -161,8 +160,7 @@
 	// unknownSince has, for each job that was asked for and is not known here, the time of the
 	// first question.
 	unknownSince map[string]time.Time
-	// loaded is set once all rows were read. confirmedAt is when the newest answered poll of the
-	// changes was sent.
+	// loaded is set once all rows were read. All rows that were stored before confirmedAt are known.
 	loaded      bool
 	confirmedAt time.Time
 	// newestVersion is the newest version of a row that was read.
@@ -261,7 +259,7 @@
 	return c.confirmedAt.Add(c.settings.OwnershipTTL)
 }
 
-// ConfirmedAt returns when the newest answered poll of the changes was sent; zero if there was none.
+// ConfirmedAt returns a time of which all rows stored before it are known; zero if there is none.
 func (c *Core) ConfirmedAt() time.Time { return c.confirmedAt }
 
 func (c *Core) isConfirmed() bool { return c.now.Before(c.OwnedUntil()) }
--- a/core/ledger/requests.go
+++ b/core/ledger/requests.go
@@ -86,8 +86,8 @@
 // acknowledges it.
 //
 // A job that is unknown here may just have been accepted by another entry. Its row was stored
-// before the run began, so a poll of the changes that is sent after the first question shows it.
-// Until such a poll is answered, neither is set.
+// before the run began. Until all rows are known that were stored before the first question, neither
+// is set.
 func (c *Core) ResolveEnd(now time.Time, end runs.End) (acked, void bool) {
 	c.now = now
 	j := c.jobs[end.Key.Job()]
--- a/lab/emulator/config.go
+++ b/lab/emulator/config.go
@@ -32,6 +32,8 @@
 	// ownershipTTL is how long an ownership confirmation from the store is valid,
 	// entrySilenceTimeout the silence after which an entry counts as lost.
 	ownershipTTL, entrySilenceTimeout time.Duration
+	// trustsParts has entries take each answer of the change feed for all changes.
+	trustsParts bool
 	// localLatency, remoteLatency and callerLatency are the one-way latencies within a data centre,
 	// between two, and between a caller and an entry. Up to jitter is added to the first two.
 	localLatency, remoteLatency, callerLatency, jitter time.Duration
--- a/lab/emulator/entry.go
+++ b/lab/emulator/entry.go
@@ -24,6 +24,7 @@
 	openRequests ordered.Map[batch.RequestID, *request]
 	nextID       uint64
 	ledger       *ledger.Core
+	horizon      ledger.Horizon
 	// durableWaiters receive the answers to open requests for durable jobs.
 	durableWaiters map[ledger.RequestID]func(errkind.Kind)
 	// partitioned is set while the entry reaches neither the store nor other entries.
@@ -72,7 +73,8 @@
 	} else {
 		e.ledger.SetCatalog(e.sim.now, e.sim.catalog)
 	}
-	e.pollChanges(0, true)
+	e.horizon = ledger.Horizon{}
+	e.pollChanges(changesPosition{})
 	e.drainLoop()
 	for _, a := range e.sim.agents {
 		if a.linkedEntries[e.address] {
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -24,6 +24,9 @@
 	version uint64
 	changes []ledger.StoredRow
 	down    bool
+	// partRows is the number of rows that an answer of the change feed has at most; 0 if it has all.
+	// Nothing in an answer tells that it is a part.
+	partRows int
 	// answerLossShare is the share of writes whose answer is lost; half of these are carried out
 	// late, the others not at all. The entry repeats them in any case.
 	answerLossShare float64
@@ -50,47 +53,100 @@
 	return ledger.WriteResult{Status: ledger.Applied, Version: s.version}
 }
 
-func (s *store) changesAfter(version uint64) []ledger.StoredRow {
-	var list []ledger.StoredRow
+// changesAfter returns the changes after a position, at most partRows of them, and the version from which
+// a reader continues. A reader that has none yet gets all.
+func (s *store) changesAfter(from changesPosition) (list []ledger.StoredRow, position uint64) {
 	for _, c := range s.changes {
-		if c.Version > version {
-			list = append(list, c)
+		if c.Version <= from.version {
+			continue
 		}
+		if from.loaded && s.partRows > 0 && len(list) == s.partRows {
+			return list, list[len(list)-1].Version
+		}
+		list = append(list, c)
 	}
-	return list
+	return list, s.version
+}
+
+// changesPosition is where an entry continues to read the changes of durable jobs.
+type changesPosition struct {
+	version uint64
+	loaded  bool
 }
 
 // pollChanges reads the change feed of durable jobs at intervals and passes the changes to the
 // ledger.
-func (e *entryProcess) pollChanges(since uint64, first bool) {
+func (e *entryProcess) pollChanges(from changesPosition) {
 	sim := e.sim
 	sentAt := sim.now
-	if sim.store.down || e.partitioned {
-		e.deliver(storeTimeout, func() { e.pollChanges(since, first) })
+	if sim.store.down || e.partitioned || e.storeDenied {
+		e.deliver(storeTimeout, func() { e.pollChanges(from) })
 		return
 	}
 	incarnation := e.incarnation
+	if from.loaded && e.horizon.NeedsVersion(sim.now, time.Time{}) {
+		sim.schedule(storeOneWay, func() {
+			version := sim.store.version
+			sim.schedule(storeOneWay, func() {
+				e.handle(incarnation, func() {
+					e.takeVersion(version, sentAt)
+					e.pollChanges(from)
+				})
+			})
+		})
+		return
+	}
+	target := e.horizon.Target()
 	sim.schedule(storeOneWay, func() {
-		rows, version := sim.store.changesAfter(since), sim.store.version
+		rows, next := sim.store.changesAfter(from)
 		sim.schedule(storeOneWay, func() {
 			e.handle(incarnation, func() {
-				if first {
-					e.ledger.LoadRows(sim.now, rows, sentAt)
-				} else {
-					e.ledger.ApplyChanges(sim.now, rows, sentAt)
+				e.takeChanges(from, rows, next, sentAt)
+				if len(rows) > 0 && next < target {
+					e.pollChanges(changesPosition{version: next, loaded: true})
+					return
 				}
-				e.perform()
-				e.deliver(changePollInterval, func() { e.pollChanges(version, false) })
+				e.deliver(changePollInterval, func() { e.pollChanges(changesPosition{version: next, loaded: true}) })
 			})
 		})
 	})
 }
 
+// takeChanges passes the answer to a poll that was sent at sentAt to the ledger. The first poll takes all
+// rows, of whatever number.
+func (e *entryProcess) takeChanges(from changesPosition, rows []ledger.StoredRow, next uint64, sentAt time.Time) {
+	now := e.sim.now
+	switch {
+	case e.sim.config.trustsParts, !from.loaded:
+		e.horizon.Load(next, sentAt)
+	case len(rows) == 0:
+		e.horizon.TakeNone(next, sentAt)
+	default:
+		e.horizon.TakeChanges(next)
+	}
+	if from.loaded {
+		e.ledger.ApplyChanges(now, rows, e.horizon.KnownAt())
+	} else {
+		e.ledger.LoadRows(now, rows, e.horizon.KnownAt())
+	}
+	e.perform()
+}
+
+// takeVersion takes the newest version of the store, as told by a call that was sent at sentAt.
+func (e *entryProcess) takeVersion(version uint64, sentAt time.Time) {
+	if e.sim.config.trustsParts {
+		return
+	}
+	e.horizon.TakeVersion(version, sentAt)
+	e.ledger.Confirm(e.sim.now, e.horizon.KnownAt())
+	e.perform()
+}
+
 // write sends a write to the store, and repeats it until an answer says whether it was applied.
 func (e *entryProcess) write(write ledger.Write) {
 	sim := e.sim
 	retry := func() { e.deliver(storeTimeout, func() { e.write(write) }) }
-	if sim.store.down || e.partitioned {
+	if sim.store.down || e.partitioned || e.storeDenied {
 		retry()
 		return
 	}
@@ -101,13 +157,16 @@
 		retry()
 		return
 	}
-	incarnation := e.incarnation
+	incarnation, sentAt := e.incarnation, sim.now
 	sim.schedule(storeOneWay, func() {
 		result := sim.store.write(write)
 		sim.schedule(storeOneWay, func() {
 			e.handle(incarnation, func() {
 				e.ledger.HandleWriteResult(sim.now, write, result)
 				e.perform()
+				if result.Status == ledger.Applied {
+					e.takeVersion(result.Version, sentAt)
+				}
 			})
 		})
 	})
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -19,10 +19,11 @@
 // Changes are rows of durable jobs as read from the store.
 type Changes struct {
 	Rows []ledger.StoredRow
-	// Next is the position from which the next poll continues.
+	// Next is the position from which the next poll continues: all changes up to it were read.
 	Next uint64
-	// More is set if there are further changes to read at once.
-	More bool
+	// UpToDate is set if there were no further changes when the store answered. Otherwise the rows
+	// may be a part of the changes.
+	UpToDate bool
 	// Restart is set if the store no longer has all changes since the position: all rows must be
 	// read again.
 	Restart bool
@@ -34,6 +35,9 @@
 	ReadJobs(ctx context.Context) (Changes, error)
 	// JobChanges waits for changes after a position, at most for wait.
 	JobChanges(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+	// JobVersion returns the newest position of the store. All changes made before the call are at
+	// most at this position.
+	JobVersion(ctx context.Context) (uint64, error)
 	// JobPartitions returns the number of partitions; each takes writes independently. JobPartition
 	// returns the partition of a job, from 0.
 	JobPartitions() int
@@ -43,15 +47,13 @@
 	WriteJobs(ctx context.Context, writes []ledger.Write) ([]ledger.WriteResult, error)
 }
 
-// pollPause is the pause after a poll that has returned changes. It bounds the rate of calls to the
-// store, and how old the state of a job may be at other entries.
-const pollPause = 80 * time.Millisecond
-
 // durableJobs connects the ledger to the store, to the entry's core and to requests. The ledger is
 // used by the entry's event loop only.
 type durableJobs struct {
 	entry  *Entry
 	ledger *ledger.Core
+	// horizon tells up to which time all jobs are known. The event loop uses it.
+	horizon ledger.Horizon
 	// pendingRequests has the channels for the answers of the ledger.
 	pendingRequests map[ledger.RequestID]chan errkind.Kind
 	// endWaiters has, by job, the channels to close when the job ends.
@@ -61,17 +63,13 @@
 	// all entries together in transactions per second.
 	limiter   *rate.Limiter
 	totalRate float64
-	// unconfirmed is set while this entry owns jobs whose ownership is not confirmed.
-	unconfirmed atomic.Bool
 	// empty is set while there is no durable job; polls of the changes wait longer then.
 	empty atomic.Bool
 	polls pollSet
-	// pollNow is set when a request needs fresher jobs: the next poll returns at once. prompt is set
-	// while such a poll is under way. pollRequestedAt is when one was last asked for; only the event
-	// loop uses it.
-	pollNow         atomic.Bool
-	prompt          atomic.Bool
+	// pollRequestedAt is when a request last needed fresher jobs, prompt is set while the present call
+	// does not wait for changes. The event loop uses them.
 	pollRequestedAt time.Time
+	prompt          bool
 	// failing is set while polls are not answered.
 	failing atomic.Bool
 	nextID  atomic.Uint64
@@ -98,86 +96,6 @@
 	return group.Wait()
 }
 
-// followChanges reads all rows, then polls for their changes.
-func (d *durableJobs) followChanges(ctx context.Context) error {
-	e := d.entry
-	var after uint64
-	loaded := false
-	for ctx.Err() == nil {
-		call, done := d.polls.begin(ctx)
-		sentAt, changes, err := d.poll(call, loaded, after)
-		ended := call.Err() != nil
-		done()
-		if ended {
-			continue // a request needs fresher jobs
-		}
-		if err != nil {
-			if !d.failing.Swap(true) {
-				e.log.Warn().Err(err).Msg("entry: the store does not tell the durable jobs")
-			}
-			sleep(ctx, storeRetryPause)
-			continue
-		}
-		if d.failing.Swap(false) {
-			e.log.Info().Msg("entry: the store tells the durable jobs again")
-		}
-		if changes.Restart {
-			loaded = false
-			continue
-		}
-		if changes.More {
-			sentAt = time.Time{} // an incomplete read confirms nothing
-		}
-		first := !loaded
-		after, loaded = changes.Next, true
-		e.post(func(_ *core.Core, now time.Time) {
-			if first {
-				d.ledger.LoadRows(now, changes.Rows, sentAt)
-				return
-			}
-			d.ledger.ApplyChanges(now, changes.Rows, sentAt)
-		})
-		if len(changes.Rows) > 0 && !changes.More {
-			sleep(ctx, pollPause)
-		}
-	}
-	return nil
-}
-
-// poll makes one call to the store. It waits for changes longer while there is no durable job, and
-// not at all if a request needs fresher jobs, ownership is not confirmed or the last poll failed. It
-// returns when the call was sent, which is after all requests for which the poll is made.
-func (d *durableJobs) poll(ctx context.Context, loaded bool, after uint64) (sentAt time.Time, changes Changes, err error) {
-	if !loaded {
-		// Questions wait for this read. If they cancelled it, it would begin with the first page again, and
-		// never end while they come more often than it takes.
-		d.prompt.Store(true)
-		defer d.prompt.Store(false)
-		sentAt = boottime.Now()
-		changes, err = d.entry.deps.Store.ReadJobs(ctx)
-		return sentAt, changes, err
-	}
-	wait := jobPollWait
-	switch {
-	case d.pollNow.Swap(false), d.unconfirmed.Load(), d.failing.Load():
-		wait = 0
-	case d.empty.Load():
-		wait = max(jobPollWait, d.entry.nextPollWait())
-	}
-	d.prompt.Store(wait == 0)
-	defer d.prompt.Store(false)
-	sentAt = boottime.Now()
-	changes, err = d.entry.deps.Store.JobChanges(ctx, after, wait)
-	return sentAt, changes, err
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // applyCoreOutput passes to the ledger what the core has produced for it. It runs in the event
 // loop.
 func (d *durableJobs) applyCoreOutput(now time.Time, out *core.Output) {
@@ -211,24 +129,6 @@
 	}
 }
 
-// minPollRequestInterval is the shortest time between two polls on request. Agents ask again for
-// each end that they keep; if each question cancelled the poll in flight, no poll would ever be
-// answered.
-const minPollRequestInterval = 100 * time.Millisecond
-
-// requestPoll has the next poll return at once. It cancels a poll that waits for changes, but not one
-// that returns at once too: that would never be answered while the store is slow.
-func (d *durableJobs) requestPoll(now time.Time) {
-	if now.Sub(d.pollRequestedAt) < minPollRequestInterval {
-		return
-	}
-	d.pollRequestedAt = now
-	d.pollNow.Store(true)
-	if !d.prompt.Load() {
-		d.polls.cancelAll()
-	}
-}
-
 // tick lets the ledger handle the passing of time, and divides the transaction rate by the number
 // of live entries.
 func (d *durableJobs) tick(now time.Time) {
@@ -277,7 +177,6 @@
 		delete(d.endWaiters, name)
 	}
 	d.logDecisions(now, out.Decisions)
-	d.unconfirmed.Store(d.ledger.HasUnconfirmed())
 	d.empty.Store(d.ledger.IsEmpty())
 	return len(out.Lost)+len(out.Cancelled)+len(out.StoredRecords)+len(out.Acquired) > 0
 }
--- a/service/batch/durable_test.go
+++ b/service/batch/durable_test.go
@@ -17,7 +17,9 @@
 	answered atomic.Int64
 }
 
-func (s *emptyStore) ReadJobs(context.Context) (Changes, error) { return Changes{Next: 1}, nil }
+func (s *emptyStore) ReadJobs(context.Context) (Changes, error) {
+	return Changes{Next: 1, UpToDate: true}, nil
+}
 
 func (s *emptyStore) JobChanges(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
 	select {
@@ -25,10 +27,12 @@
 		return Changes{}, ctx.Err()
 	case <-time.After(wait + time.Millisecond):
 		s.answered.Add(1)
-		return Changes{Next: after}, nil
+		return Changes{Next: after, UpToDate: true}, nil
 	}
 }
 
+func (s *emptyStore) JobVersion(context.Context) (uint64, error) { return 1, nil }
+
 // TestEndsOfUnknownJobsAreResolvedHoweverOftenAgentsAsk guards against questions that cancel the
 // poll in flight each time: a question is answered by a poll that was sent after it, so none would
 // ever be answered.
@@ -70,7 +74,7 @@
 	case <-ctx.Done():
 		return Changes{}, ctx.Err()
 	case <-time.After(400 * time.Millisecond):
-		return Changes{Next: 1}, nil
+		return Changes{Next: 1, UpToDate: true}, nil
 	}
 }
 
--- a/service/batch/lookup_test.go
+++ b/service/batch/lookup_test.go
@@ -27,7 +27,13 @@
 	return &laggingStore{fakeStore: fakeStore{docs: make(chan *Document)}, delay: delay}
 }
 
-func (s *laggingStore) ReadJobs(context.Context) (Changes, error) { return s.changes(0), nil }
+func (s *laggingStore) ReadJobs(context.Context) (Changes, error) {
+	all := s.changes(0)
+	all.UpToDate = true
+	return all, nil
+}
+
+func (s *laggingStore) JobVersion(context.Context) (uint64, error) { return s.changes(0).Next, nil }
 
 func (s *laggingStore) JobChanges(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
 	select {
@@ -48,6 +54,7 @@
 			list.Rows = append(list.Rows, r)
 		}
 	}
+	list.UpToDate = len(list.Rows) == 0
 	return list
 }
 
--- a/service/batch/partitionwriter.go
+++ b/service/batch/partitionwriter.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"peridotpick.example/common/boottime"
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/ledger"
 )
@@ -93,6 +94,7 @@
 func (p *partitionWriter) commit(ctx context.Context, group []ledger.Write) {
 	certain := true // no attempt of unknown result may still be carried out
 	for attempt := 1; len(group) > 0 && ctx.Err() == nil; attempt++ {
+		sentAt := boottime.Now()
 		results, err := p.transact(ctx, group)
 		if err != nil {
 			p.entry.log.Warn().Err(err).Int("writes", len(group)).Msg("entry: the fate of writes to the store is not known")
@@ -100,6 +102,7 @@
 			sleep(ctx, transactionRetryPause)
 			continue
 		}
+		p.reportVersion(results, sentAt)
 		again := p.reportFinal(group, results, certain && attempt >= maxUrgentAttempts && allRejected(results))
 		if len(again) == len(group) {
 			sleep(ctx, transactionRetryPause)
@@ -140,6 +143,20 @@
 	return again
 }
 
+// reportVersion hands the version of a transaction that was sent at sentAt to the horizon of the jobs:
+// rows that were stored before it have lower ones.
+func (p *partitionWriter) reportVersion(results []ledger.WriteResult, sentAt time.Time) {
+	var newest uint64
+	for _, r := range results {
+		if r.Status == ledger.Applied {
+			newest = max(newest, r.Version)
+		}
+	}
+	if newest > 0 {
+		p.entry.post(func(_ *core.Core, now time.Time) { p.entry.durable.takeVersion(now, newest, sentAt) })
+	}
+}
+
 func allRejected(results []ledger.WriteResult) bool {
 	for _, r := range results {
 		if r.Status != ledger.Rejected {
--- a/service/batch/peers_test.go
+++ b/service/batch/peers_test.go
@@ -37,8 +37,9 @@
 func (unavailableJobs) JobChanges(context.Context, uint64, time.Duration) (Changes, error) {
 	return Changes{}, errUnavailable
 }
-func (unavailableJobs) JobPartitions() int      { return 1 }
-func (unavailableJobs) JobPartition(string) int { return 0 }
+func (unavailableJobs) JobVersion(context.Context) (uint64, error) { return 0, errUnavailable }
+func (unavailableJobs) JobPartitions() int                         { return 1 }
+func (unavailableJobs) JobPartition(string) int                    { return 0 }
 func (unavailableJobs) WriteJobs(context.Context, []ledger.Write) ([]ledger.WriteResult, error) {
 	return nil, errUnavailable
 }
