core/runner: one held end does not hide all later ones

Cause: a held end keeps the worker from forgetting it and all later ends, and a worker lists 500. The limit counted the ends that are held, not those that the worker goes on listing because of them. One end that no entry answers for was enough.

Change: the limit counts what the worker goes on listing. At the limit the ends of runs that were neither done nor failed are given up (nothing rests on them), logged and counted; for others the lease is left to end once, as before.

The other half, that no entry answers for such an end, is not part of this change.

--- a/core/runner/core.go
+++ b/core/runner/core.go
@@ -342,7 +342,7 @@
 	c.expireReservations()
 	c.stopOrphans()
 	c.retryStops()
-	c.limitHeldEnds()
+	c.limitListedEnds()
 	c.deleteVoidEnds()
 	c.askAboutHeldEnds()
 	c.deleteExpiredLeases()
--- a/core/runner/durable_test.go
+++ b/core/runner/durable_test.go
@@ -60,7 +60,7 @@
 func TestStoreOutageDoesNotFillTheWorkersList(t *testing.T) {
 	h := newHarness(t)
 	var listing Listing
-	for n := range maxHeldEnds {
+	for n := range maxListedEnds {
 		listing.Ended = append(listing.Ended, Ended{Number: int64(n + 1), Key: key(fmt.Sprintf("j%d.0.0.0", n)), Outcome: runs.OutcomeDone})
 	}
 	h.endDurable("j.0.0.0", runs.OutcomeDone)
--- a/core/runner/held.go
+++ b/core/runner/held.go
@@ -98,14 +98,25 @@
 	c.refuseWaiting(runs.ReasonNoWorker)
 }
 
-// maxHeldEnds is the greatest number of held ends. A worker lists 500 ends and hides later ones,
-// so that it would seem fully occupied for as long as an outage of the store lasts. At this limit
-// its lease is left to expire once, which takes a second, and all held ends are forgotten.
-const maxHeldEnds = 400
-
-// limitHeldEnds voids all held ends once there are maxHeldEnds.
-func (c *Core) limitHeldEnds() {
-	if c.held.Len() < maxHeldEnds {
+// maxListedEnds is the greatest number of ends that the worker goes on listing. A held end makes it list
+// all later ones too. It lists 500 ends and hides later ones, so that it would seem fully occupied for as
+// long as one end is held.
+const maxListedEnds = 400
+
+// limitListedEnds gives held ends up once the worker lists maxListedEnds. Those of runs that were neither
+// done nor failed are forgotten: the job's owner starts the task again, with or without them. If others
+// are left, the worker's lease is left to expire once, which takes a second, and they are forgotten then.
+func (c *Core) limitListedEnds() {
+	if c.listedEnds() < maxListedEnds {
+		return
+	}
+	for number, h := range c.held.All() {
+		if !h.void && h.end.Outcome != runs.OutcomeDone && h.end.Outcome != runs.OutcomeFailed {
+			c.logHeldEnd("end given up", h)
+			c.held.Delete(number)
+		}
+	}
+	if c.listedEnds() < maxListedEnds {
 		return
 	}
 	for h := range c.held.Values() {
@@ -113,6 +124,9 @@
 	}
 }
 
+// listedEnds returns the number of ends that the worker goes on listing.
+func (c *Core) listedEnds() int64 { return c.worker.lastEndNumber - c.ackUpTo() }
+
 // awaitsLeaseExpiry reports whether the worker's lease is left to expire because of void ends.
 func (c *Core) awaitsLeaseExpiry() bool {
 	for h := range c.held.Values() {
