core/ledger: the row has what a job needs of its queue

Cause: the queue was looked up in the configuration in force at each start and takeover, and not in the one by which the job was accepted.

Change: the row has the terms of its queue (service, priority, attempts, objective). ledger.queueOf is the one look-up: the queue of the configuration in force, or else the terms.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -19,8 +19,9 @@
 //     refused and certainly not stored. While the result of the write is unknown, the job is
 //     neither accepted nor refused.
 //   - While the changes cannot be read, a job that is unknown here may still exist.
-//   - An owned job whose queue is not configured here waits until it is. Jobs of such queues are not
-//     taken over, since another entry may have a newer configuration.
+//   - A job runs to its end although its queue was removed: its row has what it needs of it. Rows of
+//     earlier versions do not. Such a job waits until the queue is configured, and is not taken over
+//     before.
 //
 // The package is deterministic: events and the current time are its input, an Output is its result.
 package ledger
@@ -219,7 +220,8 @@
 	}
 }
 
-// queueOf returns the configuration of a job's queue, or nil and the reason why there is none.
+// queueOf returns the configuration of a job's queue, or nil and the reason why there is none. If the
+// configuration in force does not have the queue, it is the one under which the job was submitted.
 func (c *Core) queueOf(j *job) (*catalog.Queue, string) {
 	if c.catalog == nil {
 		return nil, "no configuration"
@@ -227,6 +229,9 @@
 	if q := c.catalog.QueueByName(j.row.Queue); q != nil {
 		return q, ""
 	}
+	if j.row.Terms != nil {
+		return j.row.Terms.queue(j.row.Queue), ""
+	}
 	return nil, "its queue is not configured"
 }
 
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -33,6 +33,8 @@
 	// LastStarter is the owner of StartedEpoch, without its data centre, while the present owner has
 	// a later epoch. Its runs may still go on. It is nil in rows of versions that do not store it.
 	LastStarter *runs.Entry `cbor:"11,keyasint,omitempty"`
+	// Terms is nil once the job has ended, and in rows of versions that do not store it.
+	Terms *Terms `cbor:"12,keyasint,omitempty"`
 }
 
 // starter returns the only entry whose runs may still go on; nil if it is not known. An owner starts
@@ -55,11 +57,16 @@
 	// a text.
 	progressBytes = 80
 	textBytes     = 5
+	// termsBytes is for the terms besides the service.
+	termsBytes = 48
 )
 
 // maxSize returns the greatest size in bytes that the encoded row may grow to, without checkpoints.
 func (r *Row) maxSize() int {
 	size := rowBytes + len(r.Queue) + len(r.Spec)
+	if r.Terms != nil {
+		size += termsBytes + len(r.Terms.Service)
+	}
 	for _, s := range r.Steps {
 		size += stepBytes + len(s.Requires) + len(s.DataRack) + afterBytes*len(s.After) + progressBytes*s.Count
 	}
@@ -124,6 +131,9 @@
 			return eris.Errorf("progress: step %d, task %d, from 0", p.Step, p.Index)
 		}
 	}
+	if err := r.Terms.check(); err != nil {
+		return err
+	}
 	if r.State.Ended() {
 		return nil // its steps are not stored
 	}
--- a/core/ledger/row_test.go
+++ b/core/ledger/row_test.go
@@ -21,6 +21,7 @@
 		Queue: strings.Repeat("q", 60), Owner: runs.Entry{Address: "255.255.255.255:65535", Incarnation: math.MaxUint64, DataCentre: strings.Repeat("d", 60), ShortOfAgents: true},
 		Epoch: batch.MaxEpoch, State: batch.JobRunning, Writer: math.MaxUint64, Write: math.MaxUint64, Spec: strings.Repeat("x", 4000), StartedEpoch: batch.MaxEpoch,
 		LastStarter: &runs.Entry{Address: "255.255.255.255:65535", Incarnation: math.MaxUint64},
+		Terms:       &Terms{Service: strings.Repeat("s", runs.MaxNameBytes), Priority: maxPriority, MaxAttempts: maxAttempts, Stretch: 1.7, Target: maxTarget},
 	}
 	for s := range steps {
 		step := batch.Step{
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -9,14 +9,14 @@
 )
 
 // sendWrite sends a write of a job's row. seq is the number of the record that the row contains; 0
-// if it contains no new one. Rows of ended jobs are stored without their specification.
+// if it contains no new one. Rows of ended jobs are stored without what it takes to run them.
 func (c *Core) sendWrite(j *job, row Row, seq uint64, urgent bool) {
 	c.lastWriteID++
 	row.Writer = c.settings.Self.Incarnation
 	row.Write = c.lastWriteID
 	row.fit(c.settings.MaxRowBytes)
 	if row.State.Ended() {
-		row.Spec, row.Steps = "", nil
+		row.Spec, row.Steps, row.Terms = "", nil, nil
 	}
 	w := Write{Job: j.name, ExpectVersion: j.version, Row: &row, Urgent: urgent, id: c.lastWriteID, seq: seq}
 	j.pendingWrite = &w
--- a/lab/emulator/callers.go
+++ b/lab/emulator/callers.go
@@ -202,7 +202,11 @@
 		}
 	}
 	e.deliver(sim.config.callerLatency, func() {
-		e.ledger.Accept(sim.now, id, j.name, &ledger.Row{Queue: j.queue.Name, Steps: j.steps})
+		row := ledger.NewRow(j.queue, "", j.steps)
+		if sim.config.forgetsTerms {
+			row.Terms = nil
+		}
+		e.ledger.Accept(sim.now, id, j.name, row)
 		e.perform()
 	})
 	sim.schedule(j.timeout, func() {
--- a/lab/emulator/config.go
+++ b/lab/emulator/config.go
@@ -34,6 +34,8 @@
 	ownershipTTL, entrySilenceTimeout time.Duration
 	// trustsParts has entries take each answer of the change feed for all changes.
 	trustsParts bool
+	// forgetsTerms has rows of durable jobs without the terms of their queue.
+	forgetsTerms bool
 	// localLatency, remoteLatency and callerLatency are the one-way latencies within a data centre,
 	// between two, and between a caller and an entry. Up to jitter is added to the first two.
 	localLatency, remoteLatency, callerLatency, jitter time.Duration
