core/ledger: a job that another entry has accepted is known while an insert waits

Cause: the row that the changes showed was dropped until that result came, up to 5 s later, while all rows counted as known.

Change: the row counts at once and answers the requests that wait for the insert. A job whose insert waits here is not denied: a question waits, and gets 503 in the end.

Failed before: TestJobThatAnotherEntryHasAcceptedIsKnownWhileItsInsertWaits.

--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -79,7 +79,8 @@
 		return
 	}
 	if j.version == 0 {
-		return // the write in flight conflicts with this row and is handled then
+		c.handleForestalled(j, s)
+		return
 	}
 	j.row = s.Row
 	j.version = s.Version
--- a/core/ledger/requests.go
+++ b/core/ledger/requests.go
@@ -16,6 +16,15 @@
 // IsCurrent reports whether every job that was accepted before the given time is known here.
 func (c *Core) IsCurrent(since time.Time) bool { return c.loaded && !c.confirmedAt.Before(since) }
 
+// IsTracked reports whether a job is known or its row is being stored here.
+func (c *Core) IsTracked(name string) bool { return c.jobs[name] != nil }
+
+// IsAbsent reports whether a job was certainly not accepted before the given time, and its row is not
+// being stored here.
+func (c *Core) IsAbsent(name string, since time.Time) bool {
+	return c.jobs[name] == nil && c.IsCurrent(since)
+}
+
 // Accept stores a new job. The request is answered once the job is stored or refused.
 func (c *Core) Accept(now time.Time, id RequestID, name string, row *Row) {
 	c.now = now
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -157,13 +157,28 @@
 
 // handleInserted handles the first stored row of a job: the job is accepted and is to run.
 func (c *Core) handleInserted(j *job) {
+	c.answerInserts(j)
+	c.logDecision(j, "accept", "")
+	j.needsStart = true
+	c.startIfConfirmed(j)
+}
+
+// handleForestalled handles a row that another entry has stored while the insert of the same job waits for
+// its result. That insert will meet a conflict.
+func (c *Core) handleForestalled(j *job, s *StoredRow) {
+	c.answerInserts(j)
+	j.row, j.version = s.Row, s.Version
+	j.needsStart = c.isOwned(j)
+	c.logDecision(j, "accepted by another entry", s.Row.Owner.Address)
+	c.handleRowChange(j)
+}
+
+// answerInserts answers the requests that wait until the job is stored.
+func (c *Core) answerInserts(j *job) {
 	for _, id := range j.insertRequests {
 		c.answer(id, errkind.OK)
 	}
 	j.insertRequests = nil
-	c.logDecision(j, "accept", "")
-	j.needsStart = true
-	c.startIfConfirmed(j)
 }
 
 // startIfConfirmed hands a job to the entry's core if it still has to be started, its ownership is
@@ -222,10 +237,7 @@
 		c.removeJob(j)
 		return
 	}
-	for _, id := range j.insertRequests {
-		c.answer(id, errkind.OK) // another entry has accepted the same job
-	}
-	j.insertRequests = nil
+	c.answerInserts(j)
 	if !c.isOwned(j) {
 		j.startDelay = 0 // the delay belongs to a takeover that another entry's write has forestalled
 	}
--- a/service/batch/lookup.go
+++ b/service/batch/lookup.go
@@ -20,12 +20,11 @@
 	maxStaleness = 2 * time.Second
 )
 
-// awaitJob waits until a job is known, or is known not to have been accepted before the given time.
-// Requests share the polls that this takes. It reports whether one of both is the case, false early if
-// the store does not answer.
-func (d *durableJobs) awaitJob(ctx context.Context, name string, since time.Time) bool {
+// awaitAnswer waits until the ledger answers a question that was asked at the given time. Requests share
+// the polls that this takes. It reports whether the ledger does, false early if the store does not answer.
+func (d *durableJobs) awaitAnswer(ctx context.Context, since time.Time, isAnswered func() bool) bool {
 	return d.await(ctx, func(now time.Time) bool {
-		if _, known := d.ledger.State(name); known || d.ledger.IsCurrent(since) {
+		if isAnswered() {
 			return true
 		}
 		if d.pollRequestedAt.Before(since) {
@@ -69,17 +68,18 @@
 // CancelDurable cancels a durable job.
 func (e *Entry) CancelDurable(ctx context.Context, name string) errkind.Kind {
 	requestedAt := boottime.Now()
-	if !e.durable.awaitJob(ctx, name, requestedAt) {
+	d := e.durable
+	if !d.awaitAnswer(ctx, requestedAt, func() bool { return d.ledger.IsTracked(name) || d.ledger.IsAbsent(name, requestedAt) }) {
 		return errkind.StoreUnavailable // nothing was changed
 	}
-	return e.durable.request(ctx, func(id ledger.RequestID, now time.Time) { e.durable.ledger.Cancel(now, id, name, requestedAt) })
+	return d.request(ctx, func(id ledger.RequestID, now time.Time) { d.ledger.Cancel(now, id, name, requestedAt) })
 }
 
 // JobStatus is the state of a durable job.
 type JobStatus struct {
 	State core.JobState
-	// Known is set if the job exists. Certain is set if all jobs accepted before the request are
-	// known; if neither is set, it is unknown whether the job exists.
+	// Known is set if the job exists. Certain is set if it does not, and is not being stored; if neither
+	// is set, it is unknown whether the job exists.
 	Known, Certain bool
 }
 
@@ -95,7 +95,11 @@
 	ended := make(chan struct{})
 	status := e.currentState(name, requestedAt, ended)
 	if !status.Known && !status.Certain {
-		e.durable.awaitJob(ctx, name, requestedAt)
+		d := e.durable
+		d.awaitAnswer(ctx, requestedAt, func() bool {
+			_, known := d.ledger.State(name)
+			return known || d.ledger.IsAbsent(name, requestedAt)
+		})
 		status = e.currentState(name, requestedAt, ended)
 	}
 	if !status.Known || status.State != core.JobRunning {
@@ -114,7 +118,7 @@
 func (e *Entry) currentState(name string, requestedAt time.Time, ended chan<- struct{}) JobStatus {
 	status := make(chan JobStatus, 1)
 	e.post(func(c *core.Core, now time.Time) {
-		s := JobStatus{Certain: e.durable.ledger.IsCurrent(requestedAt)}
+		s := JobStatus{Certain: e.durable.ledger.IsAbsent(name, requestedAt)}
 		s.State, s.Known = e.durable.ledger.State(name)
 		if local, running := c.DurableState(name); running && s.Known && !s.State.Ended() && !local.Ended() {
 			s.State = local
