core/ledger: a cancelled job is not stored later

Cause: a cancel of a job without a row left nothing in the store that keeps a later insert out, and writes without an answer are repeated, or carried out late.

Change: such a cancel stores a row that says so, on the condition that there is none, and is answered 410 then; if it meets the job's row the job is cancelled as usual. An insert that meets it is refused (canceled-unstored, 503, not run). At most 400 at once and 20 a second an entry; more are answered 503. An idle entry polls as before.

--- a/common/errkind/errkind.go
+++ b/common/errkind/errkind.go
@@ -28,6 +28,7 @@
 	DeadlineTooShort
 	Draining
 	Canceled
+	CanceledUnstored
 	TaskFailed
 	FateUnknown
 	DeadlineExceeded
@@ -86,6 +87,7 @@
 	DeadlineTooShort: {"deadline-too-short", http.StatusGatewayTimeout, 8, NotRun, true, "The deadline passed or cannot be met"},
 	Draining:         {"draining", http.StatusServiceUnavailable, 7, NotRun, true, "This instance is shutting down"},
 	Canceled:         {"canceled", http.StatusConflict, 9, MaybeRan, false, "The job was canceled"},
+	CanceledUnstored: {"canceled-unstored", http.StatusServiceUnavailable, 9, NotRun, false, "The job was canceled before it was stored"},
 	TaskFailed:       {"task-failed", http.StatusBadGateway, 10, DidRun, false, "A task ran and failed"},
 	FateUnknown:      {"fate-unknown", http.StatusBadGateway, 11, MaybeRan, false, "A task may have run; its result is lost"},
 	DeadlineExceeded: {"deadline-exceeded", http.StatusGatewayTimeout, 11, MaybeRan, false, "The deadline passed while work was in flight"},
--- a/core/ledger/deny_test.go
+++ b/core/ledger/deny_test.go
@@ -18,8 +18,9 @@
 	c.ApplyChanges(after(30), nil, after(20))
 	acked, _ := c.ResolveEnd(after(30), end)
 	is.True(acked)
-	c.Cancel(after(40), 1, "other", after(10))
 	decisions := c.Flush().Decisions
+	c.Cancel(after(40), 1, "other", after(10))
+	decisions = append(decisions, storeUnstored(t, c, after(50), "other", 42).Decisions...)
 	is.Equal(len(decisions), 2)
 	for i, job := range []string{"unknown", "other"} {
 		is.Equal(decisions[i].Event, "deny")
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -155,6 +155,8 @@
 	jobs     map[string]*job
 	// active holds the jobs that have not ended.
 	active map[string]*job
+	// unstored holds the jobs that were cancelled without a row.
+	unstored map[string]bool
 	// catalog is the configuration in force; nil if there is none yet.
 	catalog *catalog.Catalog
 	peers   map[string]peer
@@ -169,16 +171,19 @@
 	startedAt     time.Time
 	scannedAt     time.Time
 	sweptAt       time.Time
-	lastWriteID   uint64
-	now           time.Time
-	out           Output
+	// unstoredAllowed is the number of jobs without a row that may be cancelled at unstoredAt.
+	unstoredAllowed float64
+	unstoredAt      time.Time
+	lastWriteID     uint64
+	now             time.Time
+	out             Output
 }
 
 // New returns a ledger without jobs.
 func New(s Settings, now time.Time) *Core {
 	return &Core{
-		settings: s, jobs: make(map[string]*job), active: make(map[string]*job), peers: make(map[string]peer), unknownSince: make(map[string]time.Time),
-		startedAt: now, now: now,
+		settings: s, jobs: make(map[string]*job), active: make(map[string]*job), unstored: make(map[string]bool), peers: make(map[string]peer), unknownSince: make(map[string]time.Time),
+		startedAt: now, now: now, unstoredAllowed: unstoredBurst, unstoredAt: now,
 	}
 }
 
@@ -235,8 +240,9 @@
 	return nil, "its queue is not configured"
 }
 
-// IsEmpty reports whether all rows were read and there is no durable job.
-func (c *Core) IsEmpty() bool { return c.loaded && len(c.jobs) == 0 }
+// IsEmpty reports whether all rows were read and there is no durable job, but for those that were
+// cancelled without a row.
+func (c *Core) IsEmpty() bool { return c.loaded && len(c.jobs) == len(c.unstored) }
 
 // HasUnconfirmed reports whether this entry owns jobs but cannot run them because its ownership is
 // not confirmed.
@@ -330,6 +336,9 @@
 		return
 	}
 	delete(c.active, j.name)
+	if j.row.Unstored {
+		c.unstored[j.name] = true
+	}
 	if j.endedAt.IsZero() {
 		j.endedAt = c.now
 		c.out.Ended = append(c.out.Ended, j.name)
@@ -339,6 +348,7 @@
 func (c *Core) removeJob(j *job) {
 	delete(c.jobs, j.name)
 	delete(c.active, j.name)
+	delete(c.unstored, j.name)
 }
 
 // sortedNames returns the names of jobs in alphabetical order, so that decisions are deterministic.
--- a/core/ledger/requests.go
+++ b/core/ledger/requests.go
@@ -22,7 +22,8 @@
 // IsAbsent reports whether a job was certainly not accepted before the given time, and its row is not
 // being stored here.
 func (c *Core) IsAbsent(name string, since time.Time) bool {
-	return c.jobs[name] == nil && c.IsCurrent(since)
+	j := c.jobs[name]
+	return (j == nil || j.version > 0 && j.row.Unstored) && c.IsCurrent(since)
 }
 
 // Accept stores a new job. The request is answered once the job is stored or refused.
@@ -30,6 +31,8 @@
 	c.now = now
 	j := c.jobs[name]
 	switch {
+	case j != nil && j.version > 0 && j.row.Unstored:
+		c.refuse(id, name, row.Queue, errkind.CanceledUnstored, "it was cancelled before")
 	case j != nil && j.version > 0:
 		c.answer(id, errkind.OK)
 	case j != nil:
@@ -57,7 +60,10 @@
 	case j == nil && !c.IsCurrent(requestedAt):
 		c.answer(id, errkind.StoreUnavailable)
 	case j == nil:
-		c.logDenial(name, "cancelled by its caller")
+		c.cancelUnstored(id, name)
+	case j.version == 0:
+		j.cancelRequests = append(j.cancelRequests, id)
+	case j.row.Unstored:
 		c.answer(id, errkind.NotFound)
 	case j.row.State == batch.JobCancelled:
 		c.answer(id, errkind.OK)
@@ -69,10 +75,32 @@
 	}
 }
 
+// Limits of the rows of cancelled jobs that had none. Such a row is kept as long as that of an ended job.
+const (
+	unstoredPerSecond = 20
+	unstoredBurst     = 400
+)
+
+// cancelUnstored stores that a job without a row is cancelled: another entry may be storing it. The
+// request is answered once that is stored.
+func (c *Core) cancelUnstored(id RequestID, name string) {
+	c.unstoredAllowed = min(c.unstoredAllowed+unstoredPerSecond*c.now.Sub(c.unstoredAt).Seconds(), unstoredBurst)
+	c.unstoredAt = c.now
+	if c.unstoredAllowed < 1 {
+		c.refuse(id, name, "", errkind.Overloaded, "too many cancels of unknown jobs")
+		return
+	}
+	c.unstoredAllowed--
+	row := &Row{Owner: c.settings.Self, Epoch: 1, State: batch.JobCancelled, Unstored: true}
+	j := &job{name: name, row: row, cancelRequests: []RequestID{id}}
+	c.jobs[name] = j
+	c.sendWrite(j, *row, 0, true)
+}
+
 // State returns the stored state of a job, and whether the job is known.
 func (c *Core) State(name string) (batch.JobState, bool) {
 	j := c.jobs[name]
-	if j == nil || j.version == 0 {
+	if j == nil || j.version == 0 || j.row.Unstored {
 		return batch.JobQueued, false
 	}
 	return j.row.State, true
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -35,6 +35,9 @@
 	LastStarter *runs.Entry `cbor:"11,keyasint,omitempty"`
 	// Terms is nil once the job has ended, and in rows of versions that do not store it.
 	Terms *Terms `cbor:"12,keyasint,omitempty"`
+	// Unstored is set if the job was cancelled while it had no row. Its state is cancelled then, and the
+	// row keeps a later insert out.
+	Unstored bool `cbor:"13,keyasint,omitempty"`
 }
 
 // starter returns the only entry whose runs may still go on; nil if it is not known. An owner starts
@@ -131,6 +134,9 @@
 			return eris.Errorf("progress: step %d, task %d, from 0", p.Step, p.Index)
 		}
 	}
+	if r.Unstored && r.State != batch.JobCancelled {
+		return eris.Errorf("unstored: state %d, must be %d", r.State, batch.JobCancelled)
+	}
 	if err := r.Terms.check(); err != nil {
 		return err
 	}
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -89,7 +89,10 @@
 // answerCancels answers the requests to cancel a job that has ended.
 func (c *Core) answerCancels(j *job) {
 	kind := errkind.NotFound
-	if j.row.State == batch.JobCancelled {
+	switch {
+	case len(j.cancelRequests) > 0 && j.row.Unstored:
+		c.logDenial(j.name, "cancelled by its caller")
+	case j.row.State == batch.JobCancelled:
 		kind = errkind.OK
 	}
 	for _, id := range j.cancelRequests {
@@ -158,6 +161,9 @@
 // handleInserted handles the first stored row of a job: the job is accepted and is to run.
 func (c *Core) handleInserted(j *job) {
 	c.answerInserts(j)
+	if j.row.Unstored {
+		return
+	}
 	c.logDecision(j, "accept", "")
 	j.needsStart = true
 	c.startIfConfirmed(j)
@@ -166,8 +172,8 @@
 // handleForestalled handles a row that another entry has stored while the insert of the same job waits for
 // its result. That insert will meet a conflict.
 func (c *Core) handleForestalled(j *job, s *StoredRow) {
-	c.answerInserts(j)
 	j.row, j.version = s.Row, s.Version
+	c.answerInserts(j)
 	j.needsStart = c.isOwned(j)
 	c.logDecision(j, "accepted by another entry", s.Row.Owner.Address)
 	c.handleRowChange(j)
@@ -176,7 +182,11 @@
 // answerInserts answers the requests that wait until the job is stored.
 func (c *Core) answerInserts(j *job) {
 	for _, id := range j.insertRequests {
-		c.answer(id, errkind.OK)
+		if j.row.Unstored {
+			c.refuse(id, j.name, j.row.Queue, errkind.CanceledUnstored, "it was cancelled before")
+		} else {
+			c.answer(id, errkind.OK)
+		}
 	}
 	j.insertRequests = nil
 }
@@ -237,7 +247,6 @@
 		c.removeJob(j)
 		return
 	}
-	c.answerInserts(j)
 	if !c.isOwned(j) {
 		j.startDelay = 0 // the delay belongs to a takeover that another entry's write has forestalled
 	}
@@ -248,6 +257,7 @@
 		j.row = current.Row
 		j.version = current.Version
 	}
+	c.answerInserts(j)
 	c.handleRowChange(j)
 }
 
