--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -23,6 +23,9 @@
 	// work, plus Target.
 	Stretch float64
 	Target  time.Duration
+	// Advised is set if a service of the platform decides which workers may run a step. Jobs of such a
+	// queue are not served.
+	Advised bool
 }
 
 // Objective returns the latency objective of a job whose critical path has the given work.
--- a/service/batch/follow.go
+++ b/service/batch/follow.go
@@ -115,7 +115,9 @@
 	telemetry.IncCounter("durable.version_reads", d.entry.deps.Metrics)
 	version, err := d.entry.deps.Store.JobVersion(ctx)
 	if err != nil {
-		d.logFailing(err)
+		if ok, leftOut := d.entry.logBudget.Allow("newest version", boottime.Now()); ok {
+			d.entry.log.Warn().Err(err).Int("left_out", leftOut).Msg("entry: the store does not tell its newest version")
+		}
 		return false
 	}
 	d.entry.post(func(_ *core.Core, now time.Time) { d.takeVersion(now, version, sentAt) })
