core/ledger: a row can be read whatever its queue's service is called

A service name of more than 256 bytes made the row of an accepted job odd to its own entry. No worker has such a service. TestTermsOfOddQueuesCanBeRead has it; it failed before the change.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -7,10 +7,11 @@
 //
 // Ownership. An entry runs a job only while its ownership of that job is confirmed. Once all rows are
 // known that were stored before a time, no other entry can have taken the job before it; Horizon
-// decides when they are. A confirmation is valid for Settings.OwnershipTTL, counted from that time. An entry that takes a job over from an owner that may still be alive waits for that time,
-// and for the leases of the owner's runs to expire, before it starts any task. Its row then tells
-// that it may have started some. If it loses the job before that, the next owner waits for the runs
-// of the one before it instead (Row.LastStarter).
+// decides when they are. A confirmation is valid for Settings.OwnershipTTL, counted from that time. An
+// entry that takes a job over from an owner that may still be alive waits for that time, and for the
+// leases of the owner's runs to expire, before it starts any task. Its row then tells that it may have
+// started some. If it loses the job before that, the next owner waits for the runs of the one before it
+// instead (Row.LastStarter).
 //
 // Edge cases:
 //   - The answer to a write may be lost. The write is repeated under the same condition, and a row
--- a/core/ledger/terms.go
+++ b/core/ledger/terms.go
@@ -31,10 +31,11 @@
 	maxTarget   = 24 * time.Hour
 )
 
-// NewRow returns the row of a new job of a queue.
+// NewRow returns the row of a new job of a queue. No worker has a service whose name is too long for the
+// terms.
 func NewRow(queue *catalog.Queue, spec string, steps []batch.Step) *Row {
 	return &Row{Queue: queue.Name, Spec: spec, Steps: steps, Terms: &Terms{
-		Service: queue.Service, Priority: min(max(queue.Priority, 0), maxPriority), MaxAttempts: min(max(queue.MaxAttempts, 1), maxAttempts),
+		Service: queue.Service[:min(len(queue.Service), runs.MaxNameBytes)], Priority: min(max(queue.Priority, 0), maxPriority), MaxAttempts: min(max(queue.MaxAttempts, 1), maxAttempts),
 		Stretch: boundedStretch(queue.Stretch), Target: min(max(queue.Target, 0), maxTarget),
 	}}
 }
--- a/core/ledger/terms_test.go
+++ b/core/ledger/terms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"peridotpick.example/core/batch"
 	"peridotpick.example/core/catalog"
+	"peridotpick.example/wire/runs"
 )
 
 var removedQueue = &catalog.Queue{Name: "removed", Service: "s", Priority: 2, MaxAttempts: 3, Stretch: 1.6, Target: time.Second}
@@ -61,7 +63,7 @@
 func TestTermsOfOddQueuesCanBeRead(t *testing.T) {
 	is := is.New(t)
 	for _, q := range []catalog.Queue{
-		{}, {Priority: -1, MaxAttempts: -1, Stretch: -1, Target: -1}, {Stretch: math.NaN()}, {Stretch: math.Inf(1)},
+		{}, {Service: strings.Repeat("s", 2*runs.MaxNameBytes)}, {Priority: -1, MaxAttempts: -1, Stretch: -1, Target: -1}, {Stretch: math.NaN()}, {Stretch: math.Inf(1)},
 		{Priority: math.MaxInt, MaxAttempts: math.MaxInt, Stretch: math.MaxFloat64, Target: math.MaxInt64},
 	} {
 		raw, err := NewRow(&q, "", []batch.Step{{Count: 1}}).Encode()
