core/ledger: an insert ends with a removal in its partition

Callers saw jobs run after they had cancelled them, or a second time after they were done, once the row of the cancelled or ended job had been removed. The job had been handed in before at an entry that was cut off.

Cause: an insert had no end. It is repeated until it has a result, and an attempt may be carried out late; its condition, that there is no row, holds again once the row that it should meet is removed.

Ruled out: a bound on the repeats alone (what is on the way, or in a frozen process, is not bounded by it); a version that is moved on each few seconds (writes at rest).

Change: each partition has a guard, a row that is written with each removal.

--- a/core/ledger/cancel_test.go
+++ b/core/ledger/cancel_test.go
@@ -49,7 +49,7 @@
 		is.True(!known) // nobody has accepted it
 		is.True(e.IsAbsent("j", after(6000)))
 		is.True(e.IsEmpty())
-		e.Accept(after(6200), 3, "j", &Row{Queue: "q", Steps: []batch.Step{{Count: 1}}}) // a repeated request
+		e.Accept(after(6200), 3, "j", &Row{Queue: "q", Steps: []batch.Step{{Count: 1}}}, after(6200)) // a repeated request
 		e.Cancel(after(6200), 4, "j", after(6200))
 		out := e.Flush()
 		is.Equal(out.Answers, []Answer{{Request: 3, Kind: errkind.CanceledUnstored}, {Request: 4, Kind: errkind.NotFound}})
@@ -204,7 +204,7 @@
 	case 0:
 		w.cut[entry] = !w.cut[entry]
 	case 1, 2:
-		w.entries[entry].Accept(w.now, RequestID(n), name, NewRow(removedQueue, "x", []batch.Step{{Count: 1}}))
+		w.entries[entry].Accept(w.now, RequestID(n), name, NewRow(removedQueue, "x", []batch.Step{{Count: 1}}), w.now)
 		w.collect(entry)
 	case 3:
 		w.cancel(entry, name)
--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -223,8 +223,6 @@
 		}
 		removed++
 		c.lastWriteID++
-		w := Write{Job: name, ExpectVersion: j.version, id: c.lastWriteID}
-		j.pendingWrite = &w
-		c.out.Writes = append(c.out.Writes, w)
+		c.send(j, Write{Job: name, ExpectVersion: j.version, id: c.lastWriteID})
 	}
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -20,6 +20,8 @@
 //     refused and certainly not stored. While the result of the write is unknown, the job is
 //     neither accepted nor refused.
 //   - While the changes cannot be read, a job that is unknown here may still exist.
+//   - The first write of a row may be carried out late, after the row of that job was removed. The guard of
+//     the partition keeps it out.
 //   - A job runs to its end although its queue was removed: its row has what it needs of it. Rows of
 //     earlier versions do not. Such a job waits until the queue is configured, and is not taken over
 //     before.
@@ -54,6 +56,8 @@
 	MaxRowBytes int
 	// MaxOpenJobs limits the number of jobs of this entry that have not ended.
 	MaxOpenJobs int
+	// Partition returns the partition of a job's row; nil if there is only one.
+	Partition func(job string) int
 }
 
 // RequestID identifies a request that waits for an Answer.
@@ -175,16 +179,18 @@
 	// unstoredAllowed is the number of jobs without a row that may be cancelled at unstoredAt.
 	unstoredAllowed float64
 	unstoredAt      time.Time
-	lastWriteID     uint64
-	now             time.Time
-	out             Output
+	// guards has the newest known version of the guard of each partition.
+	guards      map[int]uint64
+	lastWriteID uint64
+	now         time.Time
+	out         Output
 }
 
 // New returns a ledger without jobs.
 func New(s Settings, now time.Time) *Core {
 	return &Core{
 		settings: s, jobs: make(map[string]*job), active: make(map[string]*job), unstored: make(map[string]bool), peers: make(map[string]peer), unknownSince: make(map[string]time.Time),
-		startedAt: now, now: now, unstoredAllowed: unstoredBurst, unstoredAt: now,
+		startedAt: now, now: now, unstoredAllowed: unstoredBurst, unstoredAt: now, guards: make(map[int]uint64),
 	}
 }
 
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -56,7 +56,7 @@
 
 // acceptJob accepts a new job and returns the write of its row.
 func acceptJob(c *Core, now time.Time, id RequestID, job string) Write {
-	c.Accept(now, id, job, &Row{Queue: "q", Steps: []batch.Step{{Count: 1}}})
+	c.Accept(now, id, job, &Row{Queue: "q", Steps: []batch.Step{{Count: 1}}}, now)
 	return c.Flush().Writes[0]
 }
 
@@ -81,7 +81,7 @@
 	is.Equal(out.Answers, []Answer{{Request: 1, Kind: errkind.OK}})
 	is.Equal(out.Acquired[0].Job, "j")
 	is.True(out.Acquired[0].SafeAt.IsZero())
-	c.Accept(after(10), 2, "j", &Row{Queue: "q"}) // a repeated request
+	c.Accept(after(10), 2, "j", &Row{Queue: "q"}, after(10)) // a repeated request
 	out = c.Flush()
 	is.Equal(out.Answers, []Answer{{Request: 2, Kind: errkind.OK}})
 	is.Equal(len(out.Writes), 0)
@@ -120,12 +120,12 @@
 func TestAcceptRefusesBeforeLoadAndAboveMaxOpenJobs(t *testing.T) {
 	is := is.New(t)
 	c := newCore()
-	c.Accept(start, 1, "j", &Row{Queue: "q"}) // the rows are not read yet
+	c.Accept(start, 1, "j", &Row{Queue: "q"}, start) // the rows are not read yet
 	is.Equal(c.Flush().Answers[0].Kind, errkind.StoreUnavailable)
 	c = newLoadedCore()
 	acceptJob(c, start, 1, "j1")
 	acceptJob(c, start, 2, "j2")
-	c.Accept(start, 3, "j3", &Row{Queue: "q"})
+	c.Accept(start, 3, "j3", &Row{Queue: "q"}, start)
 	is.Equal(c.Flush().Answers, []Answer{{Request: 3, Kind: errkind.Overloaded}})
 }
 
--- a/core/ledger/requests.go
+++ b/core/ledger/requests.go
@@ -26,8 +26,9 @@
 	return (j == nil || j.version > 0 && j.row.Unstored) && c.IsCurrent(since)
 }
 
-// Accept stores a new job. The request is answered once the job is stored or refused.
-func (c *Core) Accept(now time.Time, id RequestID, name string, row *Row) {
+// Accept stores a new job. The request, which arrived at requestedAt, is answered once the job is stored or
+// refused.
+func (c *Core) Accept(now time.Time, id RequestID, name string, row *Row, requestedAt time.Time) {
 	c.now = now
 	j := c.jobs[name]
 	switch {
@@ -46,7 +47,7 @@
 		row.Epoch = 1
 		j = &job{name: name, row: row, insertRequests: []RequestID{id}}
 		c.addJob(j)
-		c.sendWrite(j, *row, 0, true)
+		c.sendInsert(j, *row, requestedAt)
 	}
 }
 
@@ -60,7 +61,7 @@
 	case j == nil && !c.IsCurrent(requestedAt):
 		c.answer(id, errkind.StoreUnavailable)
 	case j == nil:
-		c.cancelUnstored(id, name)
+		c.cancelUnstored(id, name, requestedAt)
 	case j.version == 0:
 		j.cancelRequests = append(j.cancelRequests, id)
 	case j.row.Unstored:
@@ -83,7 +84,7 @@
 
 // cancelUnstored stores that a job without a row is cancelled: another entry may be storing it. The
 // request is answered once that is stored.
-func (c *Core) cancelUnstored(id RequestID, name string) {
+func (c *Core) cancelUnstored(id RequestID, name string, requestedAt time.Time) {
 	c.unstoredAllowed = min(c.unstoredAllowed+unstoredPerSecond*c.now.Sub(c.unstoredAt).Seconds(), unstoredBurst)
 	c.unstoredAt = c.now
 	if c.unstoredAllowed < 1 {
@@ -94,7 +95,7 @@
 	row := &Row{Owner: c.settings.Self, Epoch: 1, State: batch.JobCancelled, Unstored: true}
 	j := &job{name: name, row: row, cancelRequests: []RequestID{id}}
 	c.jobs[name] = j
-	c.sendWrite(j, *row, 0, true)
+	c.sendInsert(j, *row, requestedAt)
 }
 
 // State returns the stored state of a job, and whether the job is known.
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -161,6 +162,11 @@
 	Job string
 	// ExpectVersion is the version that the row must have; 0 if the row must not exist.
 	ExpectVersion uint64
+	// ExpectGuard is the version that the guard of the partition must have if ExpectVersion is 0; 0 if there
+	// must be no guard.
+	ExpectGuard uint64
+	// RepeatUntil is when a write without a result is no longer repeated; zero if there is no limit.
+	RepeatUntil time.Time
 	// Row is the new content; nil removes the row.
 	Row *Row
 	// Urgent is set if a request waits for the write. An urgent write that the store rejects
@@ -183,6 +189,11 @@
 	Rejected
 	// Invalid means that the store accepts no such write, however often it is repeated.
 	Invalid
+	// GuardMoved means that the guard of the partition has another version than expected; nothing was
+	// changed.
+	GuardMoved
+	// Abandoned means that the write is no longer repeated; its result is not known.
+	Abandoned
 )
 
 // WriteResult is the result of a write.
@@ -192,4 +203,6 @@
 	Version uint64
 	// Current is the row that the write has met if there was a conflict.
 	Current StoredRow
+	// Guard is the version of the guard if it has moved.
+	Guard uint64
 }
--- a/core/ledger/terms_test.go
+++ b/core/ledger/terms_test.go
@@ -20,7 +20,7 @@
 func TestJobWhoseQueueIsRemovedBeforeItIsStoredRuns(t *testing.T) {
 	is := is.New(t)
 	c := newLoadedCore()
-	c.Accept(after(10), 1, "j", NewRow(removedQueue, "x", []batch.Step{{Count: 1}}))
+	c.Accept(after(10), 1, "j", NewRow(removedQueue, "x", []batch.Step{{Count: 1}}), after(10))
 	w := c.Flush().Writes[0]
 	c.SetCatalog(after(20), config(2, "q"))
 	c.HandleWriteResult(after(30), w, WriteResult{Status: Applied, Version: 7})
@@ -54,7 +54,7 @@
 	is := is.New(t)
 	c := newLoadedCore()
 	c.SetCatalog(after(5), catalog.New(2, catalog.Limits{}, []catalog.Queue{{Name: "removed", Service: "other"}}))
-	c.Accept(after(10), 1, "j", NewRow(removedQueue, "x", []batch.Step{{Count: 1}}))
+	c.Accept(after(10), 1, "j", NewRow(removedQueue, "x", []batch.Step{{Count: 1}}), after(10))
 	c.HandleWriteResult(after(30), c.Flush().Writes[0], WriteResult{Status: Applied, Version: 7})
 	is.Equal(c.Flush().Acquired[0].Queue.Service, "other")
 }
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -11,6 +11,11 @@
 // sendWrite sends a write of a job's row. seq is the number of the record that the row contains; 0
 // if it contains no new one. Rows of ended jobs are stored without what it takes to run them.
 func (c *Core) sendWrite(j *job, row Row, seq uint64, urgent bool) {
+	c.send(j, c.newWrite(j, row, seq, urgent))
+}
+
+// newWrite returns a write of a job's row under the next number.
+func (c *Core) newWrite(j *job, row Row, seq uint64, urgent bool) Write {
 	c.lastWriteID++
 	row.Writer = c.settings.Self.Incarnation
 	row.Write = c.lastWriteID
@@ -18,7 +23,11 @@
 	if row.State.Ended() {
 		row.Spec, row.Steps, row.Terms = "", nil, nil
 	}
-	w := Write{Job: j.name, ExpectVersion: j.version, Row: &row, Urgent: urgent, id: c.lastWriteID, seq: seq}
+	return Write{Job: j.name, ExpectVersion: j.version, Row: &row, Urgent: urgent, id: c.lastWriteID, seq: seq}
+}
+
+// send makes a write the one in flight of its job.
+func (c *Core) send(j *job, w Write) {
 	j.pendingWrite = &w
 	c.out.Writes = append(c.out.Writes, w)
 }
@@ -125,6 +134,12 @@
 		c.logDecision(j, "write invalid", "the store does not take the row")
 		w.seq = 0 // the record is not repeated
 		c.handleRejected(j, w)
+	case GuardMoved:
+		j.pendingWrite = nil
+		c.handleGuardMoved(j, w, result.Guard)
+	case Abandoned:
+		j.pendingWrite = nil
+		c.giveUpInsert(j, w, "its result is not known")
 	}
 }
 
@@ -137,6 +152,7 @@
 func (c *Core) handleApplied(j *job, w Write, version uint64) {
 	j.pendingWrite = nil
 	if w.Row == nil {
+		c.TakeGuard(c.partition(j.name), version)
 		c.removeJob(j)
 		return
 	}
--- a/lab/emulator/callers.go
+++ b/lab/emulator/callers.go
@@ -206,7 +206,7 @@
 		if sim.config.forgetsTerms {
 			row.Terms = nil
 		}
-		e.ledger.Accept(sim.now, id, j.name, row)
+		e.ledger.Accept(sim.now, id, j.name, row, sim.now)
 		e.perform()
 	})
 	sim.schedule(j.timeout, func() {
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -22,6 +22,8 @@
 	sim     *simulation
 	rows    map[string]ledger.StoredRow
 	version uint64
+	// guard is the version of the guard of the only partition.
+	guard   uint64
 	changes []ledger.StoredRow
 	down    bool
 	// partRows is the number of rows that an answer of the change feed has at most; 0 if it has all.
@@ -41,10 +43,14 @@
 		stored.Job = write.Job
 		return ledger.WriteResult{Status: ledger.Conflict, Current: stored}
 	}
+	if write.ExpectVersion == 0 && write.ExpectGuard != s.guard {
+		return ledger.WriteResult{Status: ledger.GuardMoved, Guard: s.guard}
+	}
 	s.version++
 	changed := ledger.StoredRow{Job: write.Job, Row: write.Row, Version: s.version}
 	s.changes = append(s.changes, changed)
 	if write.Row == nil {
+		s.guard = s.version
 		delete(s.rows, write.Job)
 	} else {
 		s.rows[write.Job] = changed
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -19,6 +19,8 @@
 // Changes are rows of durable jobs as read from the store.
 type Changes struct {
 	Rows []ledger.StoredRow
+	// Guards has the versions of the guards of partitions that were read.
+	Guards map[int]uint64
 	// Next is the position from which the next poll continues: all changes up to it were read.
 	Next uint64
 	// UpToDate is set if there were no further changes when the store answered. Otherwise the rows
@@ -43,7 +45,8 @@
 	JobPartitions() int
 	JobPartition(job string) int
 	// WriteJobs carries out writes to one partition in one transaction, all or none. It returns a
-	// result for each, or an error if it is unknown whether they were carried out.
+	// result for each, or an error if it is unknown whether they were carried out. A transaction that removes
+	// a row also writes the guard of the partition, which gets the version of the result.
 	WriteJobs(ctx context.Context, writes []ledger.Write) ([]ledger.WriteResult, error)
 }
 
@@ -76,7 +79,7 @@
 }
 
 func newDurableJobs(e *Entry, s ledger.Settings, writesPerSecond float64) *durableJobs {
-	s.Self = e.self
+	s.Self, s.Partition = e.self, e.deps.Store.JobPartition
 	d := &durableJobs{entry: e, ledger: ledger.New(s, boottime.Now()), pendingRequests: make(map[ledger.RequestID]chan errkind.Kind)}
 	d.endWaiters = make(map[string][]chan<- struct{})
 	d.limiter, d.totalRate = rate.NewLimiter(rate.Limit(writesPerSecond), transactionBurst), writesPerSecond
@@ -207,10 +210,12 @@
 	}
 }
 
-// AcceptDurable stores a durable job and has it run. It returns once the job is stored or refused.
-// If ctx ends before that, it returns errkind.FateUnknown.
-func (e *Entry) AcceptDurable(ctx context.Context, name string, row *ledger.Row) errkind.Kind {
-	return e.durable.request(ctx, func(id ledger.RequestID, now time.Time) { e.durable.ledger.Accept(now, id, name, row) })
+// AcceptDurable stores a durable job, whose request arrived at requestedAt, and has it run. It returns once
+// the job is stored or refused. If ctx ends before that, it returns errkind.FateUnknown.
+func (e *Entry) AcceptDurable(ctx context.Context, name string, row *ledger.Row, requestedAt time.Time) errkind.Kind {
+	return e.durable.request(ctx, func(id ledger.RequestID, now time.Time) {
+		e.durable.ledger.Accept(now, id, name, row, requestedAt)
+	})
 }
 
 // request posts an event that makes a request to the ledger, and waits for the answer.
--- a/service/batch/follow.go
+++ b/service/batch/follow.go
@@ -135,6 +135,9 @@
 // all rows.
 func (d *durableJobs) postChanges(changes Changes, first bool, sentAt time.Time) {
 	d.entry.post(func(_ *core.Core, now time.Time) {
+		for partition, version := range changes.Guards {
+			d.ledger.TakeGuard(partition, version)
+		}
 		switch {
 		case first:
 			d.horizon.Load(changes.Next, sentAt)
--- a/service/batch/partitionwriter.go
+++ b/service/batch/partitionwriter.go
@@ -51,7 +51,7 @@
 	select {
 	case p.writes <- w:
 	default:
-		go p.report([]ledger.Write{w}, []ledger.WriteResult{{Status: ledger.Rejected}})
+		go p.reportAll([]ledger.Write{w}, ledger.Rejected)
 	}
 }
 
@@ -93,8 +93,11 @@
 // commit repeats a group of writes until the result of each is known.
 func (p *partitionWriter) commit(ctx context.Context, group []ledger.Write) {
 	certain := true // no attempt of unknown result may still be carried out
-	for attempt := 1; len(group) > 0 && ctx.Err() == nil; attempt++ {
+	for attempt := 1; ctx.Err() == nil; attempt++ {
 		sentAt := boottime.Now()
+		if group = p.abandonOverdue(group, sentAt); len(group) == 0 {
+			return
+		}
 		results, err := p.transact(ctx, group)
 		if err != nil {
 			p.entry.log.Warn().Err(err).Int("writes", len(group)).Msg("entry: the fate of writes to the store is not known")
@@ -111,6 +114,20 @@
 	}
 }
 
+// abandonOverdue reports the writes that are no longer repeated, and returns the others.
+func (p *partitionWriter) abandonOverdue(group []ledger.Write, now time.Time) []ledger.Write {
+	var due, overdue []ledger.Write
+	for _, w := range group {
+		if w.RepeatUntil.IsZero() || now.Before(w.RepeatUntil) {
+			due = append(due, w)
+		} else {
+			overdue = append(overdue, w)
+		}
+	}
+	p.reportAll(overdue, ledger.Abandoned)
+	return due
+}
+
 // transact makes one transaction and adapts the timeout to its duration.
 func (p *partitionWriter) transact(ctx context.Context, group []ledger.Write) ([]ledger.WriteResult, error) {
 	callCtx, cancel := context.WithTimeout(ctx, p.timeout)
@@ -166,6 +183,15 @@
 	return true
 }
 
+// reportAll reports the same status for all writes.
+func (p *partitionWriter) reportAll(writes []ledger.Write, status ledger.WriteStatus) {
+	results := make([]ledger.WriteResult, len(writes))
+	for i := range results {
+		results[i].Status = status
+	}
+	p.report(writes, results)
+}
+
 // report hands the results of writes to the ledger, in the event loop.
 func (p *partitionWriter) report(writes []ledger.Write, results []ledger.WriteResult) {
 	if len(writes) == 0 {
--- a/service/batch/partitionwriter_test.go
+++ b/service/batch/partitionwriter_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
+	"peridotpick.example/common/boottime"
 	"peridotpick.example/core/ledger"
 )
 
@@ -92,3 +93,17 @@
 	}
 	is.Equal(p.timeout, time.Duration(maxTransactionTimeout))
 }
+
+// TestInsertIsNotRepeatedWithoutEnd guards against a job that is stored long after its caller has given it up.
+func TestInsertIsNotRepeatedWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	insert := ledger.Write{Job: "a", Urgent: true, RepeatUntil: boottime.Now().Add(200 * time.Millisecond)}
+	made := commitGroup(t, []ledger.Write{insert, {Job: "b", ExpectVersion: 3}}, func(writes []ledger.Write) ([]ledger.WriteResult, error) {
+		if len(writes) == 2 {
+			return noAnswer(writes)
+		}
+		return resultForAll(ledger.Applied)(writes)
+	})
+	is.True(len(made) >= 2)
+	is.Equal(made[len(made)-1], []ledger.Write{{Job: "b", ExpectVersion: 3}}) // the other write goes on
+}
