core/ledger: a job whose row is not in a read of all rows is forgotten

Callers would see a job as queued or running for good, and an entry would go on with a job that has ended elsewhere, after an entry has followed no changes for longer than the store keeps its history and the rows of ended jobs. Found by reading; no caller reported it, and it was not played by real processes.

Cause: a read of all rows was applied like changes, so that a row that it lacks counted as unchanged. A removal was also dropped while a write of the job was under way, although an insert that was forestalled meets no conflict after it.

Change: jobs at or below the version from which the read began and without a row in it are removed: no longer run, who waits for their end is told. One function handles removals however they are noticed.

The world of TestNoJobIsStoredAgainAfterItsRowWasRemoved now reads all rows without the history, too.

--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -8,8 +8,19 @@
 	"peridotpick.example/wire/runs"
 )
 
-// LoadRows takes all rows of the store. With them all rows are known that were stored before knownAt.
-func (c *Core) LoadRows(now time.Time, rows []StoredRow, knownAt time.Time) {
+// LoadRows takes all rows that the store had at some version from position on. With them all rows are known that
+// were stored before knownAt. A job that is known here without a row among them was removed.
+func (c *Core) LoadRows(now time.Time, rows []StoredRow, knownAt time.Time, position uint64) {
+	c.now = now
+	stored := make(map[string]bool, len(rows))
+	for i := range rows {
+		stored[rows[i].Job] = true
+	}
+	for _, name := range sortedNames(c.jobs) {
+		if j := c.jobs[name]; !stored[name] && j.version > 0 && j.version <= position {
+			c.handleRemoved(j)
+		}
+	}
 	c.loaded = true
 	c.ApplyChanges(now, rows, knownAt)
 }
@@ -57,8 +68,8 @@
 func (c *Core) applyRow(s *StoredRow) {
 	j := c.jobs[s.Job]
 	if s.Row == nil {
-		if j != nil && s.Version > j.version && j.pendingWrite == nil {
-			c.removeJob(j)
+		if j != nil && j.version > 0 && s.Version > j.version {
+			c.handleRemoved(j)
 		}
 		return
 	}
--- a/core/ledger/guard_test.go
+++ b/core/ledger/guard_test.go
@@ -60,7 +60,7 @@
 			SilenceTimeout: 2 * time.Second, EndedRetention: worldRetention, MaxOpenJobs: 1000,
 		}, start)
 		c.SetCatalog(start, config(1, "q"))
-		c.LoadRows(start, nil, start)
+		c.LoadRows(start, nil, start, 0)
 		w.entries = append(w.entries, &worldEntry{core: c})
 	}
 	return w
@@ -138,19 +138,42 @@
 	}
 }
 
-// read has an entry read all rows, and those that were removed, as they are now.
+// read has an entry read all rows as they are now. If the store has lost its history, nothing tells which rows were
+// removed.
 func (w *insertWorld) read(e *worldEntry) {
+	lostHistory := w.rand.IntN(4) == 0
 	var rows []StoredRow
 	for _, name := range slices.Sorted(maps.Keys(w.rows)) {
-		rows = append(rows, w.rows[name])
+		if r := w.rows[name]; r.Row != nil || !lostHistory {
+			rows = append(rows, r)
+		}
 	}
-	guard, at := w.guard, w.now
+	guard, at, version := w.guard, w.now, w.version
 	w.deliver(e, func() {
 		e.core.TakeGuard(0, guard)
-		e.core.ApplyChanges(w.now, rows, at)
+		if lostHistory {
+			e.core.LoadRows(w.now, rows, at, version)
+		} else {
+			e.core.ApplyChanges(w.now, rows, at)
+		}
 	})
 }
 
+// settle ends all disruptions, and returns the number of jobs that entries know without a row.
+func (w *insertWorld) settle() (stale int) {
+	for _, e := range w.entries {
+		e.cut, e.frozen = false, false
+		w.handleInbox(e)
+		w.read(e)
+		for name := range w.over {
+			if _, known := e.core.State(name); known && w.rows[name].Row == nil {
+				stale++
+			}
+		}
+	}
+	return stale
+}
+
 // submit hands a job in at an entry that has received the request by now.
 func (w *insertWorld) submit(e *worldEntry, name string) {
 	arrived := w.now
@@ -263,6 +286,9 @@
 		if w.broke > 0 {
 			t.Errorf("seed %d: %d jobs were stored again", seed, w.broke)
 		}
+		if stale := w.settle(); stale > 0 {
+			t.Errorf("seed %d: %d jobs without a row are known", seed, stale)
+		}
 		if w.removed < w.submitted/8 {
 			t.Errorf("seed %d: %d rows were removed, %d requests", seed, w.removed, w.submitted)
 		}
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -45,7 +45,7 @@
 func newLoadedCoreOf(entry runs.Entry, rows ...StoredRow) *Core {
 	c := newCoreOf(entry)
 	c.SetCatalog(start, config(1, "q"))
-	c.LoadRows(start, rows, start)
+	c.LoadRows(start, rows, start, 0)
 	c.Flush()
 	return c
 }
@@ -342,7 +342,7 @@
 		c := newCore()
 		row := rowOfPeer("j", 4)
 		row.Row.Owner = runs.Entry{Address: self.Address, Incarnation: 9} // this entry's previous process
-		c.LoadRows(start, []StoredRow{row}, start)
+		c.LoadRows(start, []StoredRow{row}, start, 0)
 		if missing != nil {
 			c.SetCatalog(start, missing)
 		}
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -258,9 +258,7 @@
 // handleConflict handles a write that has met another version of the row than it expected.
 func (c *Core) handleConflict(j *job, w Write, current StoredRow) {
 	if current.Row == nil {
-		// The row was removed after its retention.
-		c.answerCancels(j)
-		c.removeJob(j)
+		c.handleRemoved(j)
 		return
 	}
 	if !c.isOwned(j) {
@@ -277,6 +275,19 @@
 	c.handleRowChange(j)
 }
 
+// handleRemoved handles that the row of a job was removed, after its retention. A write in flight meets a conflict.
+func (c *Core) handleRemoved(j *job) {
+	c.answerCancels(j)
+	if j.running {
+		c.out.Lost = append(c.out.Lost, j.name)
+	}
+	if j.endedAt.IsZero() {
+		c.logDecision(j, "removed", "it ended while its changes were not read")
+		c.out.Ended = append(c.out.Ended, j.name)
+	}
+	c.removeJob(j)
+}
+
 // handleRejected handles a write that the store has rejected.
 func (c *Core) handleRejected(j *job, w Write) {
 	for _, id := range j.insertRequests {
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -133,7 +133,7 @@
 	if from.loaded {
 		e.ledger.ApplyChanges(now, rows, e.horizon.KnownAt())
 	} else {
-		e.ledger.LoadRows(now, rows, e.horizon.KnownAt())
+		e.ledger.LoadRows(now, rows, e.horizon.KnownAt(), next)
 	}
 	e.perform()
 }
--- a/service/batch/follow.go
+++ b/service/batch/follow.go
@@ -141,7 +141,7 @@
 		switch {
 		case first:
 			d.horizon.Load(changes.Next, sentAt)
-			d.ledger.LoadRows(now, changes.Rows, d.horizon.KnownAt())
+			d.ledger.LoadRows(now, changes.Rows, d.horizon.KnownAt(), changes.Next)
 			return
 		case changes.UpToDate:
 			d.horizon.TakeNone(changes.Next, sentAt)
