core/ledger: a job without its queue is held, so that its ends are answered

Cause: a job whose queue is not configured and whose row has no terms was not handed to the core of its owner, nor taken over from one that is gone. Ends of open jobs are left to the owner's core, so no entry answered for them.

Change: the owner's core gets the job on hold: ends are taken and stored, nothing is started. It is taken over on hold, 3 s later than by an entry with the queue, and owned anew when the queue is configured. An end of a task that its job does not have is acknowledged. A task that has used up its attempts while on hold is not started again.

--- a/core/batch/backlog.go
+++ b/core/batch/backlog.go
@@ -30,10 +30,10 @@
 	return c.isSafe(d) && !d.needsStartRecord() && d.startRecord <= d.storedSeq
 }
 
-// isSafe reports whether the ownership of a durable job is confirmed, also since the last suspension, and
-// the runs of previous owners are over.
+// isSafe reports whether the ownership of a durable job is confirmed, also since the last suspension, the runs of
+// previous owners are over, and the job is not on hold.
 func (c *Core) isSafe(d *durable) bool {
-	return c.now.Before(c.ownershipUntil) && !c.storeReadAt.Before(c.resumedAt) && !c.now.Before(d.safeAt)
+	return !d.onHold && c.now.Before(c.ownershipUntil) && !c.storeReadAt.Before(c.resumedAt) && !c.now.Before(d.safeAt)
 }
 
 // placeDurable starts the tasks of a durable job that are expected to get resources soon. It
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -25,6 +25,8 @@
 	// more. Nothing is started before, but ends are accepted: a previous owner must store that they
 	// no longer count before it starts a task again, which it can no longer do. Zero for a new job.
 	SafeAt time.Time
+	// OnHold is set if nothing of the job may be started by this owner.
+	OnHold bool
 }
 
 // JobState is the state of a durable job.
@@ -48,6 +50,7 @@
 	state  JobState
 	epoch  uint64
 	safeAt time.Time
+	onHold bool
 	// outOfNumbers is set once a task has used the last run number of the epoch.
 	outOfNumbers bool
 	// startedEpoch is the value for Record.StartedEpoch, and startRecord the number of the record that
@@ -128,7 +131,7 @@
 	}
 	j := c.newJob(&Request{Job: d.Job, Queue: d.Queue, Version: d.Version, Spec: d.Spec, Steps: d.Steps})
 	j.requests = nil
-	j.durable = &durable{epoch: d.Epoch, startedEpoch: d.StartedEpoch, safeAt: d.SafeAt}
+	j.durable = &durable{epoch: d.Epoch, startedEpoch: d.StartedEpoch, safeAt: d.SafeAt, onHold: d.OnHold}
 	if now.Before(d.SafeAt) {
 		// The previous owner has been lost for about as long as remains until SafeAt.
 		j.arrived = now.Add(now.Sub(d.SafeAt))
@@ -149,11 +152,28 @@
 		c.finishDurable(j, JobDone)
 		return
 	}
+	if j.hasExhaustedTask() {
+		c.giveUp(j, errkind.TaskFailed, "task failed")
+		return
+	}
 	if !c.hasBacklog {
 		c.placeJob(j)
 	}
 }
 
+// hasExhaustedTask reports whether an open task has failed as often as its queue allows. Its ends may have been stored
+// while the job was on hold, or under another configuration.
+func (j *job) hasExhaustedTask() bool {
+	for i := range j.steps {
+		for _, t := range j.steps[i].tasks {
+			if t.state != taskDone && t.failures > 0 && t.failures >= j.queue.MaxAttempts {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // StopLost stops a job that this entry must no longer run. The ends of its runs are left to the next
 // owner.
 func (c *Core) StopLost(now time.Time, name string) {
--- a/core/batch/durable_test.go
+++ b/core/batch/durable_test.go
@@ -321,3 +321,55 @@
 	h.is.Equal(h.AwaitsStore(), false)
 	h.is.Equal(starts(4040), 1)
 }
+
+// TestJobOnHoldTakesEndsAndStartsNothing guards against ends that no entry answers for while the queue of their
+// job is not known.
+func TestJobOnHoldTakesEndsAndStartsNothing(t *testing.T) {
+	h := newHarness(t, 1)
+	onHold := func(d *DurableJob) {
+		d.Epoch, d.OnHold = 2, true
+		d.Queue = &catalog.Queue{Name: "removed", MaxAttempts: 100, Stretch: 1}
+	}
+	h.is.Equal(countStarts(h.own(begin, 1, 3, onHold)), 0)
+	h.reportHeldEnd(after(100), 0, 1, 0, 1, runs.OutcomeDone)
+	h.reportHeldEnd(after(100), 0, 1, 1, 1, runs.OutcomeFailed)
+	h.reportHeldEnd(after(100), 0, 1, 2, 1, runs.OutcomeStopped)
+	records := h.collectRecords(after(110))
+	h.is.Equal(len(records), 1)
+	h.is.Equal(len(records[0].Progress), 3)
+	h.is.Equal(records[0].StartedEpoch, uint64(0)) // it has started none
+	h.RecordStored(after(400), jobName(1), records[0].Seq)
+	acked, void := ackedAndVoidKeys(h.flush(after(400)))
+	h.is.Equal(len(acked), 3)
+	h.is.Equal(len(void), 0)
+	for ms := 500; ms < 4000; ms += 100 {
+		h.Tick(after(ms))
+		h.is.Equal(countStarts(h.flush(after(ms))), 0)
+	}
+}
+
+// countStarts returns the number of starts that an output sends.
+func countStarts(out Output) int {
+	n := 0
+	for _, list := range startsByLink(out) {
+		n += len(list)
+	}
+	return n
+}
+
+// TestTaskThatFailedTooOftenBeforeIsNotStartedAgain guards against a start beyond the attempts of the queue: the
+// last failure was stored while the queue was not known.
+func TestTaskThatFailedTooOftenBeforeIsNotStartedAgain(t *testing.T) {
+	for failures, state := range map[int]JobState{queue.MaxAttempts - 1: JobQueued, queue.MaxAttempts: JobFailed} {
+		h := newHarness(t, 1)
+		out := h.own(begin, 1, 2, func(d *DurableJob) {
+			d.Progress = []TaskProgress{{Index: 1, Failures: failures, Run: uint32(failures)}}
+		})
+		if state == JobFailed {
+			h.is.Equal(countStarts(out), 0)
+			h.is.Equal(out.Records[0].State, JobFailed)
+		} else {
+			h.is.Equal(countStarts(out), 2)
+		}
+	}
+}
--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -114,6 +114,9 @@
 	// takeoverDelayPerRank is how long an entry waits for each entry that comes before it in the
 	// order in which entries take a job over.
 	takeoverDelayPerRank = 1500 * time.Millisecond
+	// holdTakeoverDelay is how much longer an entry waits that can only keep the job on hold. An entry that has
+	// the queue comes first, and a new configuration is in force at most entries by then.
+	holdTakeoverDelay = 3 * time.Second
 	// sweepInterval is the time between two searches for rows to remove, maxRemovalsPerSweep the
 	// number of rows that one search removes at most.
 	sweepInterval = 5 * time.Second
@@ -149,11 +152,16 @@
 	if c.isOwned(j) || j.pendingWrite != nil || j.version == 0 {
 		return
 	}
-	goneSince, certain := c.goneSince(j.row.Owner)
-	if goneSince.IsZero() || c.now.Sub(goneSince) < time.Duration(c.takeoverRank(j.name))*takeoverDelayPerRank {
+	queue, holdReason := c.queueOf(j)
+	if queue == nil {
 		return
 	}
-	if queue, _ := c.queueOf(j); queue == nil {
+	delay := time.Duration(c.takeoverRank(j.name)) * takeoverDelayPerRank
+	if holdReason != "" {
+		delay += holdTakeoverDelay
+	}
+	goneSince, certain := c.goneSince(j.row.Owner)
+	if goneSince.IsZero() || c.now.Sub(goneSince) < delay {
 		return
 	}
 	reason := "its process is gone"
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -23,8 +23,8 @@
 //   - The first write of a row may be carried out late, after the row of that job was removed. The guard of
 //     the partition keeps it out.
 //   - A job runs to its end although its queue was removed: its row has what it needs of it. Rows of
-//     earlier versions do not. Such a job waits until the queue is configured, and is not taken over
-//     before.
+//     earlier versions do not. Such a job is on hold until the queue is configured: its ends are stored,
+//     and nothing is started. An entry without the queue leaves it to others for a while.
 //
 // The package is deterministic: events and the current time are its input, an Output is its result.
 package ledger
@@ -76,6 +76,9 @@
 	// Queue is the configuration of the job's queue, Version that of the configuration in force.
 	Queue   *catalog.Queue
 	Version uint64
+	// OnHold is set if the queue is not known, so that nothing of the job may be started. Ends of runs that previous
+	// owners have started are taken all the same.
+	OnHold bool
 	// SafeAt is when all runs that previous owners, or this entry before it lost its confirmation,
 	// may have started have certainly ended; zero if there are none.
 	SafeAt time.Time
@@ -137,9 +140,10 @@
 	// interrupted, may still go on.
 	needsStart bool
 	startDelay time.Duration
-	// waitReason is why it was not handed over yet although ownership is confirmed; empty if it was
-	// or if that was not tried.
+	// waitReason is why nothing of it may be started although ownership is confirmed; empty if it may, or if
+	// that was not tried. onHold is set if it was handed over all the same.
 	waitReason string
+	onHold     bool
 	// needsEpoch is set while this entry owns the job but has run it under the present epoch before.
 	needsEpoch bool
 	// running is set while the entry's core runs the job.
@@ -228,11 +232,23 @@
 	c.now = now
 	c.catalog = config
 	for _, name := range sortedNames(c.active) {
+		c.endHold(c.active[name])
 		c.startIfConfirmed(c.active[name])
 	}
 }
 
-// queueOf returns the configuration of a job's queue, or nil and the reason why there is none. If the
+// endHold has a job that is on hold start again under the next epoch if its queue is configured now.
+func (c *Core) endHold(j *job) {
+	if !j.running || !j.onHold {
+		return
+	}
+	if _, reason := c.queueOf(j); reason == "" {
+		c.out.Lost = append(c.out.Lost, j.name)
+		c.interrupt(j.name, "queue configured")
+	}
+}
+
+// queueOf returns the configuration of a job's queue, or the reason why nothing of the job may be started. If the
 // configuration in force does not have the queue, it is the one under which the job was submitted.
 func (c *Core) queueOf(j *job) (*catalog.Queue, string) {
 	if c.catalog == nil {
@@ -244,7 +260,7 @@
 	if j.row.Terms != nil {
 		return j.row.Terms.queue(j.row.Queue), ""
 	}
-	return nil, "its queue is not configured"
+	return &catalog.Queue{Name: j.row.Queue, MaxAttempts: maxAttempts, Stretch: 1}, "its queue is not configured"
 }
 
 // IsEmpty reports whether all rows were read and there is no durable job, but for those that were
--- a/core/ledger/requests.go
+++ b/core/ledger/requests.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"peridotpick.example/common/errkind"
@@ -118,14 +120,14 @@
 	return n
 }
 
-// ResolveEnd decides on the end of a run whose job this entry does not run. The end is acknowledged
+// ResolveEnd decides on the end of a run whose job this entry's core does not run. The end is acknowledged
 // if no entry needs it, so the agent may forget it. It is void if the job may have ended by another
-// run of the same task. If neither is set, the agent keeps the end until the owner of the job
-// acknowledges it.
+// run of the same task. If neither is set, the agent keeps the end and asks again:
 //
-// A job that is unknown here may just have been accepted by another entry. Its row was stored
-// before the run began. Until all rows are known that were stored before the first question, neither
-// is set.
+//   - The job is unknown here. Another entry may just have accepted it; its row was stored before the run
+//     began. It is certain once all rows are known that were stored before the first question.
+//   - The job is open. Its owner's core takes the end, also while the job is on hold, once the ownership is
+//     confirmed and a configuration is in force. If the owner is gone, another entry takes the job over.
 func (c *Core) ResolveEnd(now time.Time, end runs.End) (acked, void bool) {
 	c.now = now
 	j := c.jobs[end.Key.Job()]
@@ -136,13 +138,27 @@
 	case j == nil:
 		return false, false
 	case !j.row.State.Ended():
-		return false, false
+		return j.version > 0 && !j.row.hasTask(end.Key), false
 	case j.row.State == batch.JobCancelled, end.Outcome != runs.OutcomeDone && end.Outcome != runs.OutcomeFailed, j.row.isCompletingRun(end.Key):
 		return true, false
 	}
 	return false, true
 }
 
+// hasTask reports whether the task of a run is one of the job, whose row has its steps.
+func (r *Row) hasTask(key runs.Key) bool {
+	parts := strings.Split(key.Task, ".")
+	if len(parts) < 2 {
+		return false
+	}
+	step, stepErr := strconv.Atoi(parts[len(parts)-2])
+	index, indexErr := strconv.Atoi(parts[len(parts)-1])
+	if stepErr != nil || indexErr != nil || step < 0 || step >= len(r.Steps) || index < 0 || index >= r.Steps[step].Count {
+		return false
+	}
+	return key.Task == batch.TaskName(key.Job(), step, index)
+}
+
 // isCompletingRun reports whether a run is the one that completed its task.
 func (r *Row) isCompletingRun(key runs.Key) bool {
 	for _, p := range r.Progress {
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -207,27 +207,26 @@
 	j.insertRequests = nil
 }
 
-// startIfConfirmed hands a job to the entry's core if it still has to be started, its ownership is
-// confirmed and its queue is configured.
+// startIfConfirmed hands a job to the entry's core if it still has to be started and its ownership is
+// confirmed; on hold if its queue is not configured.
 func (c *Core) startIfConfirmed(j *job) {
 	if !j.needsStart || !c.isConfirmed() || !c.isOwned(j) || j.row.State.Ended() {
 		return
 	}
 	queue, reason := c.queueOf(j)
+	if reason != "" && j.waitReason != reason {
+		c.logDecision(j, "wait", reason)
+	}
+	j.waitReason, j.onHold = reason, reason != ""
 	if queue == nil {
-		if j.waitReason != reason {
-			c.logDecision(j, "wait", reason)
-		}
-		j.waitReason = reason
 		return
 	}
-	acquired := Acquisition{Job: j.name, Row: j.row, Queue: queue, Version: c.catalog.Version}
+	acquired := Acquisition{Job: j.name, Row: j.row, Queue: queue, Version: c.catalog.Version, OnHold: j.onHold}
 	if j.startDelay > 0 {
 		acquired.SafeAt = c.now.Add(j.startDelay)
 	}
 	j.needsStart = false
 	j.startDelay = 0
-	j.waitReason = ""
 	j.running = true
 	c.out.Acquired = append(c.out.Acquired, acquired)
 }
--- a/lab/emulator/config_test.go
+++ b/lab/emulator/config_test.go
@@ -81,3 +81,19 @@
 	t.Logf("%d of 6 schedules failed", failed)
 	is.True(failed >= 4)
 }
+
+// TestEndsOfJobsWithoutTheirQueueAreAnswered guards against ends that no entry answers for: the queue of their job
+// was removed for good, its row does not have the terms, and its owners are gone.
+func TestEndsOfJobsWithoutTheirQueueAreAnswered(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		sim := simulateRemovedQueues(seed, true)
+		for _, v := range sim.checker.violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		for _, a := range sim.agents {
+			if !a.dead && a.core.HasUndeliveredEnds() {
+				t.Errorf("seed %d: %s keeps ends that no entry answers for", seed, a.worker.id)
+			}
+		}
+	}
+}
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -223,7 +223,7 @@
 	}
 	for _, o := range ledgerOut.Acquired {
 		e.core.RunDurable(now, &batch.DurableJob{
-			Job: o.Job, Queue: o.Queue, Version: o.Version, Spec: o.Row.Spec, Steps: o.Row.Steps, Epoch: o.Row.Epoch, StartedEpoch: o.Row.StartedEpoch, Progress: o.Row.Progress, SafeAt: o.SafeAt,
+			Job: o.Job, Queue: o.Queue, Version: o.Version, Spec: o.Row.Spec, Steps: o.Row.Steps, Epoch: o.Row.Epoch, StartedEpoch: o.Row.StartedEpoch, Progress: o.Row.Progress, SafeAt: o.SafeAt, OnHold: o.OnHold,
 		})
 	}
 	for _, name := range ledgerOut.Ended {
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -188,7 +188,7 @@
 func (d *durableJobs) startJob(now time.Time, acquired *ledger.Acquisition) {
 	d.entry.core.RunDurable(now, &core.DurableJob{
 		Job: acquired.Job, Queue: acquired.Queue, Version: acquired.Version, Spec: acquired.Row.Spec, Steps: acquired.Row.Steps,
-		Epoch: acquired.Row.Epoch, StartedEpoch: acquired.Row.StartedEpoch, Progress: acquired.Row.Progress, SafeAt: acquired.SafeAt,
+		Epoch: acquired.Row.Epoch, StartedEpoch: acquired.Row.StartedEpoch, Progress: acquired.Row.Progress, SafeAt: acquired.SafeAt, OnHold: acquired.OnHold,
 	})
 }
 
