core/ledger: a job whose row cannot be decoded is not said not to exist

Callers would get 410 for an accepted job from an entry that cannot decode its row, as a later version may write it in a rolling change, and a task that is done may be started again: the entry tells agents that its end is not needed. Found by listing who answers for which end; no caller reported it, and it was not played by real processes.

Cause: such rows were left out when changes were read, and a job without a known row counts as absent.

Change: they are passed on, marked. Their jobs are not known but not absent; questions and cancels are answered 503 at once, ends are left to entries that can decode the row, and an owner whose row was written so stops the job.

--- a/core/ledger/follow.go
+++ b/core/ledger/follow.go
@@ -12,6 +12,7 @@
 // were stored before knownAt. A job that is known here without a row among them was removed.
 func (c *Core) LoadRows(now time.Time, rows []StoredRow, knownAt time.Time, position uint64) {
 	c.now = now
+	clear(c.unreadable)
 	stored := make(map[string]bool, len(rows))
 	for i := range rows {
 		stored[rows[i].Job] = true
@@ -67,6 +68,13 @@
 
 func (c *Core) applyRow(s *StoredRow) {
 	j := c.jobs[s.Job]
+	if s.Unreadable {
+		c.applyUnreadable(j, s)
+		return
+	}
+	if s.Version > c.unreadable[s.Job] {
+		delete(c.unreadable, s.Job)
+	}
 	if s.Row == nil {
 		if j != nil && j.version > 0 && s.Version > j.version {
 			c.handleRemoved(j)
@@ -98,6 +106,18 @@
 	c.handleRowChange(j)
 }
 
+// applyUnreadable handles a row that cannot be decoded. Whoever has written it owns the job.
+func (c *Core) applyUnreadable(j *job, s *StoredRow) {
+	if s.Version <= c.unreadable[s.Job] || j != nil && s.Version <= j.version {
+		return
+	}
+	c.unreadable[s.Job] = s.Version
+	c.out.Decisions = append(c.out.Decisions, Decision{Event: "unreadable", Job: s.Job, Version: s.Version, Reason: "its row cannot be decoded here", ConfirmationAge: c.now.Sub(c.confirmedAt)})
+	if j != nil && j.version > 0 {
+		c.handleRemoved(j)
+	}
+}
+
 // RecordAlive records that other entries are alive.
 func (c *Core) RecordAlive(now time.Time, alive []runs.Entry) {
 	c.now = now
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -19,7 +19,8 @@
 //   - A job is accepted only once its row is stored. If the store rejects the write, the job is
 //     refused and certainly not stored. While the result of the write is unknown, the job is
 //     neither accepted nor refused.
-//   - While the changes cannot be read, a job that is unknown here may still exist.
+//   - While the changes cannot be read, a job that is unknown here may still exist. So does one whose row
+//     cannot be decoded here, as later versions may write it.
 //   - The first write of a row may be carried out late, after the row of that job was removed. The guard of
 //     the partition keeps it out.
 //   - A job runs to its end although its queue was removed: its row has what it needs of it. Rows of
@@ -166,6 +167,9 @@
 	active map[string]*job
 	// unstored holds the jobs that were cancelled without a row.
 	unstored map[string]bool
+	// unreadable holds the versions of the rows that cannot be decoded here. Their jobs are not known here,
+	// but they exist.
+	unreadable map[string]uint64
 	// catalog is the configuration in force; nil if there is none yet.
 	catalog *catalog.Catalog
 	peers   map[string]peer
@@ -193,7 +197,7 @@
 // New returns a ledger without jobs.
 func New(s Settings, now time.Time) *Core {
 	return &Core{
-		settings: s, jobs: make(map[string]*job), active: make(map[string]*job), unstored: make(map[string]bool), peers: make(map[string]peer), unknownSince: make(map[string]time.Time),
+		settings: s, jobs: make(map[string]*job), active: make(map[string]*job), unstored: make(map[string]bool), unreadable: make(map[string]uint64), peers: make(map[string]peer), unknownSince: make(map[string]time.Time),
 		startedAt: now, now: now, unstoredAllowed: unstoredBurst, unstoredAt: now, guards: make(map[int]uint64),
 	}
 }
--- a/core/ledger/requests.go
+++ b/core/ledger/requests.go
@@ -21,9 +21,15 @@
 // IsTracked reports whether a job is known or its row is being stored here.
 func (c *Core) IsTracked(name string) bool { return c.jobs[name] != nil }
 
+// IsUnreadable reports whether a job exists whose row cannot be decoded here.
+func (c *Core) IsUnreadable(name string) bool { return c.unreadable[name] > 0 }
+
 // IsAbsent reports whether a job was certainly not accepted before the given time, and its row is not
 // being stored here.
 func (c *Core) IsAbsent(name string, since time.Time) bool {
+	if c.IsUnreadable(name) {
+		return false
+	}
 	j := c.jobs[name]
 	return (j == nil || j.version > 0 && j.row.Unstored) && c.IsCurrent(since)
 }
@@ -60,7 +66,7 @@
 	c.now = now
 	j := c.jobs[name]
 	switch {
-	case j == nil && !c.IsCurrent(requestedAt):
+	case j == nil && !c.IsAbsent(name, requestedAt):
 		c.answer(id, errkind.StoreUnavailable)
 	case j == nil:
 		c.cancelUnstored(id, name, requestedAt)
@@ -126,6 +132,7 @@
 //
 //   - The job is unknown here. Another entry may just have accepted it; its row was stored before the run
 //     began. It is certain once all rows are known that were stored before the first question.
+//   - The row of the job cannot be decoded here. Entries that can decode it decide.
 //   - The job is open. Its owner's core takes the end, also while the job is on hold, once the ownership is
 //     confirmed and a configuration is in force. If the owner is gone, another entry takes the job over.
 func (c *Core) ResolveEnd(now time.Time, end runs.End) (acked, void bool) {
@@ -171,6 +178,9 @@
 
 // isConfirmedAbsent reports whether a job that is unknown here certainly has no row.
 func (c *Core) isConfirmedAbsent(name string) bool {
+	if c.IsUnreadable(name) {
+		return false
+	}
 	asked, before := c.unknownSince[name]
 	if !before {
 		c.unknownSince[name] = c.now
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -150,8 +150,9 @@
 // StoredRow is a row together with its key and version in the store.
 type StoredRow struct {
 	Job string
-	// Row is nil if the row was removed.
-	Row *Row
+	// Row is nil if the row was removed, or if it cannot be decoded here. Unreadable is set in the latter case.
+	Row        *Row
+	Unreadable bool
 	// Version is the version that the store gives the row; it rises with each change. It is 0 if
 	// the row does not exist.
 	Version uint64
--- a/service/batch/lookup.go
+++ b/service/batch/lookup.go
@@ -69,7 +69,9 @@
 func (e *Entry) CancelDurable(ctx context.Context, name string) errkind.Kind {
 	requestedAt := boottime.Now()
 	d := e.durable
-	if !d.awaitAnswer(ctx, requestedAt, func() bool { return d.ledger.IsTracked(name) || d.ledger.IsAbsent(name, requestedAt) }) {
+	if !d.awaitAnswer(ctx, requestedAt, func() bool {
+		return d.ledger.IsTracked(name) || d.ledger.IsUnreadable(name) || d.ledger.IsAbsent(name, requestedAt)
+	}) {
 		return errkind.StoreUnavailable // nothing was changed
 	}
 	return d.request(ctx, func(id ledger.RequestID, now time.Time) { d.ledger.Cancel(now, id, name, requestedAt) })
@@ -98,7 +100,7 @@
 		d := e.durable
 		d.awaitAnswer(ctx, requestedAt, func() bool {
 			_, known := d.ledger.State(name)
-			return known || d.ledger.IsAbsent(name, requestedAt)
+			return known || d.ledger.IsUnreadable(name) || d.ledger.IsAbsent(name, requestedAt)
 		})
 		status = e.currentState(name, requestedAt, ended)
 	}
--- a/service/batch/lookup_test.go
+++ b/service/batch/lookup_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotpick.example/common/errkind"
 	core "peridotpick.example/core/batch"
 	"peridotpick.example/core/ledger"
 )
@@ -105,3 +106,26 @@
 	is.Equal(uncertain.Load(), int64(0))
 	is.True(store.answered.Load()-before <= 12) // 1.2 s of requests, at most one poll each 100 ms
 }
+
+// TestQuestionsForAJobWhoseRowCannotBeDecodedAreAnsweredAtOnce guards against callers that wait for an answer that
+// this entry cannot give.
+func TestQuestionsForAJobWhoseRowCannotBeDecodedAreAnsweredAtOnce(t *testing.T) {
+	store := &emptyStore{fakeStore: fakeStore{docs: make(chan *Document)}}
+	e := startEntryOn(t, store)
+	waitFor(t, "the store is not polled", func() bool { return e.durable.empty.Load() })
+	e.post(func(_ *core.Core, now time.Time) {
+		e.durable.ledger.ApplyChanges(now, []ledger.StoredRow{{Job: "j", Version: 9, Unreadable: true}}, now)
+	})
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if s := e.JobState(ctx, "j"); s.Known || s.Certain {
+		t.Errorf("the state is %+v, want neither known nor certain", s)
+	}
+	if kind := e.CancelDurable(ctx, "j"); kind != errkind.StoreUnavailable {
+		t.Errorf("a cancel is answered %v, want %v", kind, errkind.StoreUnavailable)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the answers took %v", took)
+	}
+}
