core/ledger: an owner without the store is told that its job is cancelled

Callers saw tasks of a job started for up to 5 s after its cancelling had been acknowledged (cancel_ms is 3 s): the entry that runs the job was cut off from the store, the cancel came at another one.

Cause: an owner learns only from the store that its job is cancelled, and goes on for as long as its ownership is confirmed, 5.5 s.

Ruled out: a shorter confirmation for starts (stops all kept jobs in short outages of the store); telling agents (the entry may have no link to them).

Change: the entry that has stored the cancelling of another entry's job tells the other entries, who pass it on once. The owner takes it like a change of the row if it is newer than its own.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -104,8 +104,10 @@
 	// StoredRecords lists the records that are stored since the last call.
 	StoredRecords []StoredRecord
 	// Ended lists the jobs that have ended in the store since the last call.
-	Ended     []string
-	Decisions []Decision
+	Ended []string
+	// CancelNotices lists cancelled jobs of other entries, which these are told.
+	CancelNotices []runs.CancelledJob
+	Decisions     []Decision
 }
 
 // Decision is a decision to be logged and counted.
@@ -149,6 +151,8 @@
 	needsEpoch bool
 	// running is set while the entry's core runs the job.
 	running bool
+	// cancelTold is set once other entries were told that the job is cancelled.
+	cancelTold bool
 	// endedAt is when the job was first seen as ended; zero if it has not ended.
 	endedAt time.Time
 }
--- a/core/ledger/write.go
+++ b/core/ledger/write.go
@@ -166,6 +166,8 @@
 	switch {
 	case inserted:
 		c.handleInserted(j)
+	case w.Row.State == batch.JobCancelled:
+		c.tellCancelled(j)
 	case before.Epoch != w.Row.Epoch:
 		c.logStartDelay(j)
 		j.needsStart, j.needsEpoch = true, false
--- a/service/batch/durable.go
+++ b/service/batch/durable.go
@@ -179,6 +179,7 @@
 		}
 		delete(d.endWaiters, name)
 	}
+	e.peers.broadcastCancelled(out.CancelNotices)
 	d.logDecisions(now, out.Decisions)
 	d.empty.Store(d.ledger.IsEmpty())
 	return len(out.Lost)+len(out.Cancelled)+len(out.StoredRecords)+len(out.Acquired) > 0
--- a/service/batch/exchange.go
+++ b/service/batch/exchange.go
@@ -33,6 +33,8 @@
 	fullView bool
 	// suspects are the tasks suspected of crashing workers that are still to be sent.
 	suspects []runs.Suspect
+	// cancelled are the cancelled jobs that are still to be sent.
+	cancelled []runs.CancelledJob
 	// closing is set once this side closes the exchange on purpose.
 	closing bool
 	// digestMismatches counts the consecutive messages with another digest than this entry's.
@@ -40,6 +42,22 @@
 	wake             chan struct{}
 }
 
+// tellAll adds to the next message of each exchange, which is sent at once.
+func (p *peers) tellAll(add func(x *exchange)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for x := range p.exchanges {
+		add(x)
+		x.wakeSender()
+	}
+}
+
+// appendNewest appends to a list of which only the newest elements are kept, limit of them.
+func appendNewest[T any](list, more []T, limit int) []T {
+	list = append(list, more...)
+	return list[max(len(list)-limit, 0):]
+}
+
 // wakeSender has the next message sent at once.
 func (x *exchange) wakeSender() {
 	select {
@@ -128,12 +146,12 @@
 	defer p.mu.Unlock()
 	msg := &runs.Gossip{
 		Self: p.view.Self(), Members: x.pending, AliveDigest: p.view.Digest(), ConfigVersion: p.entry.configVersion(),
-		Closing: x.closing, Drains: p.entry.drains.view(boottime.Now()), Suspects: x.suspects, Levels: p.levels,
+		Closing: x.closing, Drains: p.entry.drains.view(boottime.Now()), Suspects: x.suspects, Levels: p.levels, Cancelled: x.cancelled,
 	}
 	if x.fullView {
 		msg.Members = p.view.Records()
 	}
-	x.pending, x.fullView, x.suspects = nil, false, nil
+	x.pending, x.fullView, x.suspects, x.cancelled = nil, false, nil, nil
 	return msg
 }
 
@@ -172,6 +190,7 @@
 		p.handleMessage(x, msg)
 		p.entry.updateDrains(msg.Drains, msg.Self.Entry.Address)
 		p.receiveSuspects(msg.Suspects)
+		p.receiveCancelled(msg.Cancelled)
 		p.receiveLevels(msg.Self.Entry.Address, msg.Levels)
 		p.receiveConfigChunk(x, msg)
 		latest := remoteState{version: msg.ConfigVersion, wantsConfig: msg.WantConfig, configOffset: msg.WantConfigFrom}
--- a/service/batch/suspects.go
+++ b/service/batch/suspects.go
@@ -14,15 +14,8 @@
 
 // broadcastSuspects sends tasks suspected of crashing workers to the other entries.
 func (p *peers) broadcastSuspects(list []runs.Suspect) {
-	if len(list) == 0 {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for x := range p.exchanges {
-		x.suspects = append(x.suspects, list...)
-		x.suspects = x.suspects[max(len(x.suspects)-maxPendingSuspects, 0):]
-		x.wakeSender()
+	if len(list) > 0 {
+		p.tellAll(func(x *exchange) { x.suspects = appendNewest(x.suspects, list, maxPendingSuspects) })
 	}
 }
 
--- a/wire/runs/messages.go
+++ b/wire/runs/messages.go
@@ -425,6 +425,15 @@
 	Suspects []Suspect `cbor:"12,keyasint,omitempty"`
 	// Levels are the levels of work of the services whose resources are short at the sender.
 	Levels []Level `cbor:"13,keyasint,omitempty"`
+	// Cancelled are durable jobs that are cancelled in the store, which the receiver may not have read yet.
+	Cancelled []CancelledJob `cbor:"14,keyasint,omitempty"`
+}
+
+// CancelledJob is a durable job that is cancelled in the store.
+type CancelledJob struct {
+	Job string `cbor:"1,keyasint"`
+	// Version is the version of the row that says so.
+	Version uint64 `cbor:"2,keyasint"`
 }
 
 // MaxLevels is the greatest number of levels in a message, which bounds them to about a kilobyte.
