core/runner: the end of an orphan is held

Callers' tasks ran a second time after they were done, when all entries and agents had been killed at once while kept jobs ran.

Cause: an agent that starts again does not know whether the runs that it finds at its worker belong to kept jobs. Ends that were listed at its first look were held until an entry answers for them; those of runs that went on (orphans) were not, so the worker forgot them before any entry had heard of them.

Change: they are held, and all entries are asked at once.

--- a/core/runner/durable_test.go
+++ b/core/runner/durable_test.go
@@ -116,3 +116,39 @@
 	h.is.True(ok)
 	h.is.Equal(poll.AckUpTo, int64(1))
 }
+
+// TestEndOfAnOrphanIsHeld guards against a task that is started again although it is done: its run ends after the
+// agent was restarted and before an entry claims it, since the entry is lost, too.
+func TestEndOfAnOrphanIsHeld(t *testing.T) {
+	for _, outcome := range []runs.Outcome{runs.OutcomeDone, runs.OutcomeFailed, runs.OutcomeStopped} {
+		h := newHarness(t)
+		out := h.send(start, "other")
+		h.OrderAnswered(after(1), out.Orders[0], Answer{Status: Accepted, Clock: 5001})
+		running := []Running{{Key: key("other")}, {Key: key("j.0.0.0")}}
+		h.pollAt(after(5), Listing{Running: running})
+		h.is.True(h.runs.Get(key("j.0.0.0")).orphan)
+		h.pollAt(after(30), Listing{Running: running[:1], Ended: []Ended{{Number: 1, Key: key("j.0.0.0"), Outcome: outcome}}})
+		h.Tick(after(31))
+		out = h.Flush(after(31))
+		h.is.Equal(len(out.Sends[0].Msg.UnownedEnds), 1) // all entries are asked at once
+		h.is.Equal(out.Sends[0].Msg.UnownedEnds[0].Outcome, outcome)
+		poll, ok := h.NextPoll(after(60))
+		h.is.True(ok)
+		h.is.Equal(poll.AckUpTo, int64(0)) // the worker must go on listing it
+		h.Receive(after(70), 1, &runs.ToAgent{Clock: after(70).UnixNano(), AckedEnds: []runs.Key{key("j.0.0.0")}})
+		poll, _ = h.NextPoll(after(100))
+		h.is.Equal(poll.AckUpTo, int64(1))
+	}
+}
+
+// TestEndOfAClaimedAwaitedRunIsNotHeld has an entry claim a run of an awaited job before it ends.
+func TestEndOfAClaimedAwaitedRunIsNotHeld(t *testing.T) {
+	h := newHarness(t)
+	out := h.send(start, "other")
+	h.OrderAnswered(after(1), out.Orders[0], Answer{Status: Accepted, Clock: 5001})
+	running := []Running{{Key: key("other")}, {Key: key("j.0.0.0")}}
+	h.pollAt(after(5), Listing{Running: running})
+	h.Receive(after(10), 1, &runs.ToAgent{Clock: after(10).UnixNano(), Owned: []runs.OwnedRun{{Key: key("j.0.0.0"), Need: small}}})
+	h.pollAt(after(30), Listing{Running: running[:1], Ended: []Ended{{Number: 1, Key: key("j.0.0.0"), Outcome: runs.OutcomeDone}}})
+	h.is.Equal(h.held.Len(), 0)
+}
--- a/core/runner/orders.go
+++ b/core/runner/orders.go
@@ -329,7 +329,7 @@
 			end.Reason = r.stopReason
 		}
 		c.speed.observeEnd(c.now, r, end)
-		if r.durable {
+		if r.durable || r.orphan { // the job of an orphan may be durable
 			c.holdEnd(e.Number, r.owner.Incarnation, end)
 			end.NeedsAck = true
 		}
--- a/lab/emulator/restart_test.go
+++ b/lab/emulator/restart_test.go
@@ -75,3 +75,29 @@
 	})
 	t.Logf("%d awaited jobs done, %d durable ones ended", done, ended)
 }
+
+// simulateKillOfAll runs one schedule in which all entries and agents are killed at once, twice, while tasks of durable
+// jobs run; the workers go on.
+func simulateKillOfAll(seed uint64) *simulation {
+	sim := newSimulation(seed, testConfig())
+	sim.logsEvents = *oneSeed != 0
+	submitLongJobs(sim, 8, 3*time.Second, 200*time.Millisecond, 1500*time.Millisecond)
+	for n := range 2 {
+		sim.schedule(time.Duration(n+1)*time.Second+time.Duration(sim.rand.Int64N(int64(time.Second))), func() {
+			for _, e := range sim.entries {
+				e.kill(time.Duration(100+sim.rand.IntN(500)) * time.Millisecond)
+			}
+			for _, a := range sim.agents {
+				a.kill(time.Duration(100+sim.rand.IntN(500)) * time.Millisecond)
+			}
+		})
+	}
+	sim.run(60 * time.Second)
+	return sim
+}
+
+// TestKillOfAllSchedules guards against tasks that are started again although they are done: a run ends after its agent
+// was restarted and before an entry claims it.
+func TestKillOfAllSchedules(t *testing.T) {
+	checkThatJobsEnd(t, simulateKillOfAll)
+}
