core/batch: a silent worker is not taken for a crash for good

Callers saw an accepted job that did not run while all workers had nine tenths of their room free: two workers had left calls unanswered for some seconds under its task, and every other worker ran something.

Cause: a run whose worker is out of reach may have crashed it. After two such runs the task is started only at an empty worker, and this was taken back neither when the same incarnation of the worker was reachable again nor with time.

Change: such a run counts until that incarnation is reachable again, and for crashReportTimeout (15 s) at most. Proved crashes count as before.

Failed before: TestTaskOfWorkersThatWereSilentIsNoSuspect, TestSuspicionOfUnreachableWorkersEnds (without the lines about the new list).

--- a/core/batch/agents.go
+++ b/core/batch/agents.go
@@ -217,6 +217,9 @@
 	c.logWorkerChange(a, w)
 	c.addVanishedWorker(&a.worker, w)
 	a.worker = *w
+	if w.ID != "" {
+		c.clearReachable(w.ID)
+	}
 	if w.ID == "" || w.Draining || w.Released {
 		c.forgetReservationsAt(a.link)
 	}
--- a/core/batch/core.go
+++ b/core/batch/core.go
@@ -305,6 +305,7 @@
 	c.Advance(now)
 	c.closeSilentLinks()
 	c.expireLost()
+	c.expireUnreachable()
 	c.updateMedianSlowness()
 	if c.now.Sub(c.reach.checkedAt) >= reachInterval {
 		c.updateOutOfReach()
--- a/core/batch/crash.go
+++ b/core/batch/crash.go
@@ -54,6 +54,8 @@
 	// suspects are tasks during whose runs workers were lost, by name, least recently updated
 	// first.
 	suspects ordered.Map[string, *suspect]
+	// unreachable are the tasks with unreachableRuns, by name.
+	unreachable ordered.Map[string, *task]
 	// unowned are crashes during runs of tasks whose job is not here, by task, least recently updated
 	// first.
 	unowned ordered.Map[string, *unownedCrashes]
@@ -166,18 +168,49 @@
 	c.giveUpIfOverCrashLimit(t)
 }
 
+// unreachableRun is a run whose worker became unreachable.
+type unreachableRun struct {
+	// worker is the ID of the worker's incarnation; empty if a previous owner had the run.
+	worker string
+	at     time.Time
+}
+
 // handleUnreachableWorker handles the end of a run whose worker became unreachable and may have
-// crashed. As the worker may also be cut off from the network, the task only becomes a suspect; the
-// job does not fail unless a crash is reported later.
+// crashed. As the worker may also be cut off from the network, the task is only a suspect until the worker is
+// reachable again or crashReportTimeout has passed; the job does not fail unless a crash is reported later.
 func (c *Core) handleUnreachableWorker(t *task, worker string, end runs.End) {
-	if t.unreachableRuns == nil {
-		t.unreachableRuns = make(map[uint32]time.Time)
-	}
-	t.unreachableRuns[end.Key.Run] = c.now
+	c.addUnreachable(t, end.Key.Run, unreachableRun{worker: t.worker, at: c.now})
 	c.crashes.addLoss(c.now, t.job.name, t.worker)
 	c.reportLostWorker(t, worker, end)
 }
 
+func (c *Core) addUnreachable(t *task, run uint32, u unreachableRun) {
+	if t.unreachableRuns == nil {
+		t.unreachableRuns = make(map[uint32]unreachableRun)
+	}
+	t.unreachableRuns[run] = u
+	c.crashes.unreachable.Put(t.name, t)
+}
+
+// clearReachable handles that an incarnation of a worker is reachable: it has not crashed under the runs that it had.
+func (c *Core) clearReachable(worker string) {
+	c.dropUnreachable(func(u unreachableRun) bool { return u.worker == worker })
+}
+
+// expireUnreachable drops the runs whose worker would have reported a crash by now.
+func (c *Core) expireUnreachable() {
+	c.dropUnreachable(func(u unreachableRun) bool { return c.now.Sub(u.at) > crashReportTimeout })
+}
+
+func (c *Core) dropUnreachable(isOver func(u unreachableRun) bool) {
+	for name, t := range c.crashes.unreachable.All() {
+		maps.DeleteFunc(t.unreachableRuns, func(_ uint32, u unreachableRun) bool { return isOver(u) })
+		if len(t.unreachableRuns) == 0 || c.byTask[name] != t {
+			c.crashes.unreachable.Delete(name)
+		}
+	}
+}
+
 // addCrashedRun remembers that the crash of a run was counted.
 func (t *task) addCrashedRun(run uint32) {
 	if t.crashedRuns == nil {
@@ -208,12 +241,9 @@
 
 // restoreUnreachableRuns restores the given number of runs of a previous owner whose workers became
 // unreachable. The run numbers are not known but are lower than those of later runs.
-func (t *task) restoreUnreachableRuns(now time.Time, count int) {
+func (c *Core) restoreUnreachableRuns(t *task, count int) {
 	for n := range min(count, maxRestoredRuns) {
-		if t.unreachableRuns == nil {
-			t.unreachableRuns = make(map[uint32]time.Time)
-		}
-		t.unreachableRuns[uint32(n)] = now
+		c.addUnreachable(t, uint32(n), unreachableRun{at: c.now})
 	}
 }
 
@@ -244,17 +274,8 @@
 }
 
 // awaitsCrashReport reports whether a task must wait until it is known whether unreachable workers
-// have crashed. With these it may have reached lostWorkerLimit. Runs that have been unreachable for
-// longer than crashReportTimeout are dropped.
+// have crashed. With these it may have reached lostWorkerLimit.
 func (c *Core) awaitsCrashReport(t *task) bool {
-	if t.lostWorkers+len(t.unreachableRuns) < lostWorkerLimit {
-		return false
-	}
-	for run, at := range t.unreachableRuns {
-		if c.now.Sub(at) > crashReportTimeout {
-			delete(t.unreachableRuns, run)
-		}
-	}
 	return t.lostWorkers+len(t.unreachableRuns) >= lostWorkerLimit
 }
 
--- a/core/batch/crash_test.go
+++ b/core/batch/crash_test.go
@@ -228,3 +228,54 @@
 		}
 	}
 }
+
+// loseTwice has a durable task of one job lose two workers that become unreachable. It returns its last worker.
+func loseTwice(h *harness) (task *task, last int) {
+	at, s := h.onlyStart(h.own(begin, 1, 1, nil))
+	h.reportLoss(20, at, 1, 0, s.Key.Run, runs.ReasonLeaseExpired, true)
+	h.RecordStored(after(30), jobName(1), h.jobs.Get(jobName(1)).durable.seq)
+	h.Tick(after(40))
+	last, s = h.onlyStart(h.flush(after(40)))
+	for n := range h.agents.Len() {
+		h.receiveReport(after(45), n, func(m *runs.ToEntry) {
+			m.Load.Free.CPU -= 1000 // no worker is empty
+			if n == at || n == last {
+				m.Worker.ID = "" // out of reach
+			}
+		})
+	}
+	h.reportLoss(50, last, 1, 0, s.Key.Run, runs.ReasonLeaseExpired, true)
+	h.RecordStored(after(60), jobName(1), h.jobs.Get(jobName(1)).durable.seq)
+	h.Tick(after(70))
+	h.flush(after(70))
+	return h.byTask[TaskName(jobName(1), 0, 0)], last
+}
+
+// TestTaskOfWorkersThatWereSilentIsNoSuspect guards against a sound task that waits for an empty worker for good, as
+// two workers became unreachable under it.
+func TestTaskOfWorkersThatWereSilentIsNoSuspect(t *testing.T) {
+	h := newHarness(t, 5)
+	task, last := loseTwice(h)
+	h.is.Equal(task.isolation(), runs.IsolationExclusive)
+	h.receiveReport(after(200), last, func(m *runs.ToEntry) { m.Worker.ID = "another incarnation" })
+	h.is.Equal(task.isolation(), runs.IsolationExclusive) // it may have crashed
+	h.receiveReport(after(300), last, nil)                // it has not
+	h.is.Equal(task.isolation(), runs.IsolationNone)
+	h.is.Equal(h.crashes.unreachable.Len(), 1) // the other worker
+}
+
+// TestSuspicionOfUnreachableWorkersEnds has workers that stay away, and a previous owner's, which are not known.
+func TestSuspicionOfUnreachableWorkersEnds(t *testing.T) {
+	h := newHarness(t, 5)
+	task, _ := loseTwice(h)
+	h.own(after(80), 2, 1, func(d *DurableJob) { d.Progress = []TaskProgress{{Run: 2, UnreachableWorkers: 3}} })
+	restored := h.byTask[TaskName(jobName(2), 0, 0)]
+	h.is.Equal(restored.isolation(), runs.IsolationExclusive)
+	h.ConfirmOwnership(after(80), after(20_000))
+	h.advanceTo(after(80 + int(crashReportTimeout.Milliseconds()) - 100))
+	h.is.Equal(restored.isolation(), runs.IsolationExclusive)
+	h.advanceTo(after(80 + int(crashReportTimeout.Milliseconds()) + 200))
+	h.is.Equal(task.isolation(), runs.IsolationNone)
+	h.is.Equal(restored.isolation(), runs.IsolationNone)
+	h.is.Equal(h.crashes.unreachable.Len(), 0)
+}
--- a/core/batch/durable.go
+++ b/core/batch/durable.go
@@ -137,7 +137,7 @@
 		j.arrived = now.Add(now.Sub(d.SafeAt))
 	}
 	for i := range d.Progress {
-		j.restoreTask(now, &d.Progress[i])
+		c.restoreTask(j, &d.Progress[i])
 	}
 	c.jobs.Put(j.name, j)
 	for i := range j.steps {
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -86,9 +86,9 @@
 	// lostWorkers is the number of workers that were lost while they ran the task, blamedCrashes
 	// the number of crashes attributed to it.
 	lostWorkers, blamedCrashes int
-	// unreachableRuns maps the runs whose worker became unreachable to the time of it, until it is
-	// known whether the worker crashed.
-	unreachableRuns map[uint32]time.Time
+	// unreachableRuns are the runs whose worker became unreachable, until it is known whether the worker
+	// crashed.
+	unreachableRuns map[uint32]unreachableRun
 	// crashedRuns are the runs whose worker is known to have crashed and was counted.
 	crashedRuns map[uint32]bool
 	// refusedBy counts the refusals of the task by worker.
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -67,7 +67,7 @@
 )
 
 // restoreTask restores the stored progress of a task.
-func (j *job) restoreTask(now time.Time, p *TaskProgress) {
+func (c *Core) restoreTask(j *job, p *TaskProgress) {
 	if p.Step >= len(j.steps) || p.Index >= len(j.steps[p.Step].tasks) {
 		return
 	}
@@ -76,7 +76,7 @@
 	t.failures, t.run, t.newestHandledRun, t.checkpoint = p.Failures, p.Run, p.Run, p.Checkpoint
 	t.abandonedRun = p.Abandoned
 	t.lostWorkers, t.blamedCrashes = p.LostWorkers, p.BlamedCrashes
-	t.restoreUnreachableRuns(now, p.UnreachableWorkers)
+	c.restoreUnreachableRuns(t, p.UnreachableWorkers)
 	if p.Run > 0 {
 		t.handledRuns = map[uint32]bool{p.Run: true}
 	}
