--- a/core/ledger/cancel_test.go
+++ b/core/ledger/cancel_test.go
@@ -254,12 +254,17 @@
 // TestCancelsDeniedWithoutARow verifies that the orders of TestNothingStartsAfterACancelWasDenied find cancels
 // that leave nothing in the store.
 func TestCancelsDeniedWithoutARow(t *testing.T) {
-	failed := 0
-	for seed := range uint64(40) {
-		if playCancels(seed, true).violations > 0 {
+	is.New(t).True(countFailed(t, 40, func(seed uint64) bool { return playCancels(seed, true).violations > 0 }) >= 20)
+}
+
+// countFailed returns how many of the seeds below a number fail.
+func countFailed(t *testing.T, seeds uint64, fails func(seed uint64) bool) (failed int) {
+	t.Helper()
+	for seed := range seeds {
+		if fails(seed) {
 			failed++
 		}
 	}
-	t.Logf("%d of 40 seeds failed", failed)
-	is.New(t).True(failed >= 20)
+	t.Logf("%d of %d seeds failed", failed, seeds)
+	return failed
 }
--- a/core/ledger/guard_test.go
+++ b/core/ledger/guard_test.go
@@ -301,14 +301,7 @@
 // TestInsertsWithoutAGuard verifies that the orders of TestNoJobIsStoredAgainAfterItsRowWasRemoved find inserts that
 // the guard does not keep out.
 func TestInsertsWithoutAGuard(t *testing.T) {
-	failed := 0
-	for seed := range uint64(20) {
-		if playInserts(seed, true).broke > 0 {
-			failed++
-		}
-	}
-	t.Logf("%d of 20 seeds failed", failed)
-	is.New(t).True(failed >= 15)
+	is.New(t).True(countFailed(t, 20, func(seed uint64) bool { return playInserts(seed, true).broke > 0 }) >= 15)
 }
 
 // TestInsertIsSentAgainOnlyWhileItsRequestIsNew guards against an insert that is sent under a later guard although
